Answer all that is owed before the kill where deadlines are longer than 3 s

The node logs 'draining' at 4.303 s; the kill comes 3.72 s later. Ruled out: a slow drain (all nodes log 'draining' and none 'stopped'). Cause: node.go took the longest deadline as it is, while the protocol counts one over 3 s as 3 s. Besides, endBy cut only what came after SIGTERM: a request taken before, with more time left, was still open at the kill.

--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -267,6 +267,17 @@
 	}
 }
 
+// endAt is told when the node ends: answers are due by then, also those of requests
+// that were taken before and have more time left. A killed node answers nobody.
+func (l *loop) endAt(by time.Duration) {
+	l.endBy = by
+	for _, r := range l.requests {
+		if !r.answered && r.end > by {
+			l.after(by, func() { l.backstop(r) })
+		}
+	}
+}
+
 // backstop guards the rule that each request is answered in its client's time,
 // should the module not have done so by now.
 func (l *loop) backstop(r *request) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -23,16 +23,17 @@
 	leastSockets = 64
 
 	// A node that was told to end is killed no sooner than drainGrace and the longest
-	// deadline later. Clients go on using what connections stay open, and on a tier of
+	// deadline later, a deadline over drainLongest counting as that. Clients go on using what connections stay open, and on a tier of
 	// one can go nowhere else, so it serves until shortly before: answers are due
 	// drainSpare ahead of that, connections end from drainLeave ahead of it on, those
 	// behind an answer before those that must be closed while idle.
-	drainGrace  = 700 * time.Millisecond
-	drainAccept = 450 * time.Millisecond // clients connect for up to 0.4 s
-	drainSpare  = 100 * time.Millisecond
-	drainLeave  = 220 * time.Millisecond
-	drainBehind = 100 * time.Millisecond
-	leaveFor    = 20 * time.Millisecond // for idle connections to end by themselves
+	drainGrace   = 700 * time.Millisecond
+	drainLongest = 3 * time.Second
+	drainAccept  = 450 * time.Millisecond // clients connect for up to 0.4 s
+	drainSpare   = 100 * time.Millisecond
+	drainLeave   = 220 * time.Millisecond
+	drainBehind  = 100 * time.Millisecond
+	leaveFor     = 20 * time.Millisecond // for idle connections to end by themselves
 
 	readTimeout  = 2 * time.Second  // a client may take so long over a head and body together
 	writeTimeout = 15 * time.Second // from the head on: over any deadline
@@ -54,6 +55,15 @@
 	return serve(ctx, cfg, listener, reloads, log)
 }
 
+// drainTime is how long a node that was told to end lives at least.
+func drainTime(classes []policy.Class) time.Duration {
+	longest := time.Duration(0)
+	for _, class := range classes {
+		longest = max(longest, class.Deadline)
+	}
+	return min(longest, drainLongest) + drainGrace
+}
+
 func serve(ctx context.Context, cfg Config, listener net.Listener, reloads Reloads, log *slog.Logger) error {
 	defer listener.Close()
 	c := newClock()
@@ -120,12 +130,8 @@
 	}
 
 	log.Info("draining")
-	longest := time.Duration(0)
-	for _, class := range set.Classes {
-		longest = max(longest, class.Deadline)
-	}
-	kill := time.Now().Add(longest + drainGrace)
-	l.post(func() { l.endBy = l.now + time.Until(kill) - drainSpare })
+	kill := time.Now().Add(drainTime(set.Classes))
+	l.post(func() { l.endAt(l.now + time.Until(kill) - drainSpare) })
 	told := time.Now()
 	for time.Until(kill) > drainLeave+drainBehind && (time.Since(told) < drainAccept || !clients.empty()) {
 		time.Sleep(leaveFor)
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -40,9 +40,10 @@
 	news    chan struct{}    // closed and replaced at each change
 	down    bool
 	failed  int
-	asked   bool  // the settings say that nodes have to ask
-	watched int64 // the version that the latest watch is from
-	wholes  int   // calls for the whole list
+	asked   bool   // the settings say that nodes have to ask
+	site    string // the settings, where not the usual ones
+	watched int64  // the version that the latest watch is from
+	wholes  int    // calls for the whole list
 }
 
 func newRegistry(t *testing.T, targets ...target) *registry {
@@ -132,6 +133,9 @@
 func startNodeWith(t *testing.T, d *registry, reloads Reloads, known ...target) (addr string, stop func() error) {
 	t.Helper()
 	text := settings
+	if d.site != "" {
+		text = d.site
+	}
 	if d.asked {
 		text = strings.Replace(text, "{", `{"RegistryMode": "on_request",`, 1)
 	}
@@ -542,6 +546,52 @@
 	}
 }
 
+// Guards rule 1 against the kill where deadlines are longer than the time that a node
+// which was told to end has: what it had taken before, with seconds left, is answered
+// first, and so is what comes while it drains.
+func TestDrainAnswersBeforeTheKill(t *testing.T) {
+	for longest, want := range map[time.Duration]time.Duration{
+		450 * time.Millisecond: 1150 * time.Millisecond, 3 * time.Second: 3700 * time.Millisecond, time.Minute: 3700 * time.Millisecond,
+	} {
+		if got := drainTime([]policy.Class{{Deadline: longest / 2}, {Deadline: longest}}); got != want {
+			t.Errorf("deadline %v: the kill is expected after %v, want %v", longest, got, want)
+		}
+	}
+	came := make(chan struct{}, 2)
+	s := newServer(t, func(_ int64, _ *http.Request, c net.Conn) bool {
+		came <- struct{}{}
+		c.Read(make([]byte, 1)) // silent until the node gives up
+		return false
+	})
+	d := newRegistry(t, listed(s, "s1"), listed(s, "s2"))
+	d.site = strings.ReplaceAll(settings, `"DeadlineMs": 3000`, `"DeadlineMs": 60000`)
+	addr, stop := startNode(t, d)
+	answered := make(chan time.Time, 2)
+	ask := func() {
+		resp, err := http.DefaultClient.Do(clientRequest(t, addr, "book", "59"))
+		if err != nil {
+			t.Error(err)
+		} else if resp.Body.Close(); resp.StatusCode == http.StatusOK {
+			t.Error("served, though the server is silent")
+		}
+		answered <- time.Now()
+	}
+	go ask()
+	<-came
+	told := time.Now()
+	ended := make(chan error, 1)
+	go func() { ended <- stop() }()
+	go ask()
+	for range 2 {
+		if took := (<-answered).Sub(told); took > drainLongest+drainGrace {
+			t.Errorf("answered %v after the node was told to end", took)
+		}
+	}
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+}
+
 // dialClient opens a connection of its own; ask sends a request on it and gives
 // the answer's status.
 func dialClient(t *testing.T, addr string) (c net.Conn, ask func() (int, error)) {
