Notice a silent watch within 3 s and open it anew before it counts as told

Ruled out: a list that came and was not used (the send came before the list did), and a dear re-arming of watches (n1 goes on after each of 8 changes, 0.6 s apart, with no queue). Cause: discovery.go waits 10 s and 1.5 s more, and policy.Members then spreads the call over half to one and a half spans: 5 to 15 s where nodes are many, past MustAsk as well.

--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -8,18 +8,28 @@
 	"hash/fnv"
 	"io"
 	"log/slog"
+	"math/rand/v2"
 	"net/http"
 	"net/url"
 	"slices"
 	"strconv"
 	"time"
 
+	"otterstep/internal/wire"
 	"otterstep/policy"
 )
 
 const (
-	watchWait    = 10 * time.Second // a watch answers after this at the latest
-	watchGrace   = 1500 * time.Millisecond
+	// A watch answers after a time between watchLeast and watchSpread more, and
+	// one that has not done so watchGrace later has fallen silent. What it misses counts
+	// as told 6 s after it fell silent, which may be right after the call, so half of
+	// that is left to find out and the other half to call anew. Going on with a watch is
+	// cheap. Its time is random: all watches answer a change at the same moment, and the
+	// nodes whose watches then fall silent together must not find out together.
+	watchLeast  = 1500 * time.Millisecond
+	watchSpread = time.Second
+	watchGrace  = 500 * time.Millisecond
+
 	listWait     = time.Second     // the agent on this machine answers at once
 	listWaitAsk  = 2 * time.Second // one service for all works through calls in turn
 	backoffFirst = 50 * time.Millisecond
@@ -47,11 +57,12 @@
 // discovery follows the list of servers: once as a whole, then by a watch that
 // is re-armed at once, so that no change falls between two calls.
 type discovery struct {
-	addr  string
-	asked bool // discovery is one service for all: the module says when to call again
-	zones []string
-	clock clock
-	log   *slog.Logger
+	addr        string
+	asked       bool          // discovery is one service for all: the module says when to call again
+	backoffMost time.Duration // between calls of an agent that is down
+	zones       []string
+	clock       clock
+	log         *slog.Logger
 	// members hands a list on; endpoints go with the entries.
 	members func(kind policy.ListKind, entries []policy.Entry, endpoints []string)
 	// first is called once the first list is in place, or the first call has
@@ -67,9 +78,12 @@
 	listed  bool // rev is discovery's own
 }
 
-func newDiscovery(addr string, asked bool, zones []string, c clock, log *slog.Logger) *discovery {
+// newDiscovery calls an agent that is down often enough to hear it within drainGrace of its
+// return: what the agent gets then counts as told at once.
+func newDiscovery(addr string, site wire.Site, c clock, log *slog.Logger) *discovery {
 	return &discovery{
-		addr: addr, asked: asked, zones: zones, clock: c, log: log, wanted: make(chan struct{}, 1), moves: make(chan string),
+		backoffMost: min(backoffMost, max(site.DrainGrace/3, backoffFirst)),
+		addr:        addr, asked: site.Settings.ListAsked, zones: site.Zones, clock: c, log: log, wanted: make(chan struct{}, 1), moves: make(chan string),
 		client: http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}},
 	}
 }
@@ -150,13 +164,17 @@
 		}
 		if !down {
 			down = true
-			d.log.Warn("discovery is down, keeping the list", "rev", d.rev, "err", err)
+			d.log.Warn("no word from discovery, keeping the list", "rev", d.rev, "err", err)
 		}
 		if d.asked { // its calls cost all nodes: the module spreads them
 			for len(d.wanted) > 0 {
 				<-d.wanted
 			}
-			d.members(policy.ListFailed, nil, nil)
+			kind := policy.ListFailed
+			if errors.Is(err, errSilent) {
+				kind = policy.ListSilent
+			}
+			d.members(kind, nil, nil)
 			d.await(ctx)
 			continue
 		}
@@ -164,7 +182,7 @@
 		case <-time.After(backoff):
 		case <-ctx.Done():
 		}
-		backoff = min(2*backoff, backoffMost)
+		backoff = min(2*backoff, d.backoffMost)
 	}
 }
 
@@ -176,6 +194,9 @@
 	}
 }
 
+// errSilent tells that a watch gave no answer in its time.
+var errSilent = errors.New("the watch fell silent")
+
 // call makes one call, of the whole list at first and then of what is newer.
 func (d *discovery) call(ctx context.Context) error {
 	address := url.URL{Scheme: "http", Host: d.addr, Path: "/discovery/hosts"}
@@ -183,12 +204,14 @@
 	if d.asked {
 		wait = listWaitAsk
 	}
+	var late error
 	if d.listed {
-		wait = watchWait + watchGrace
+		wait = watchLeast + rand.N(watchSpread)
 		address.RawQuery = "since=" + strconv.FormatInt(d.rev, 10) +
-			"&timeout_ms=" + strconv.FormatInt(watchWait.Milliseconds(), 10)
+			"&timeout_ms=" + strconv.FormatInt(wait.Milliseconds(), 10)
+		wait, late = wait+watchGrace, errSilent
 	}
-	ctx, cancel := context.WithTimeout(ctx, wait)
+	ctx, cancel := context.WithTimeoutCause(ctx, wait, late)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, address.String(), nil)
 	if err != nil {
@@ -196,7 +219,7 @@
 	}
 	resp, err := d.client.Do(req)
 	if err != nil {
-		return fmt.Errorf("list: %w", err)
+		return listError(ctx, err)
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
@@ -207,7 +230,7 @@
 	}
 	text, err := io.ReadAll(io.LimitReader(resp.Body, maxList))
 	if err != nil {
-		return fmt.Errorf("list: %w", err)
+		return listError(ctx, err)
 	}
 	var list hostList
 	if err := json.Unmarshal(text, &list); err != nil {
@@ -227,6 +250,14 @@
 	return nil
 }
 
+// listError words why a call failed: its time limit, if that was it.
+func listError(ctx context.Context, err error) error {
+	if cause := context.Cause(ctx); cause != nil {
+		err = cause
+	}
+	return fmt.Errorf("list: %w", err)
+}
+
 // hand turns discovery's lines into the module's entries.
 func (d *discovery) hand(kind policy.ListKind, targets []target) {
 	entries, endpoints := make([]policy.Entry, len(targets)), make([]string, len(targets))
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -73,7 +73,7 @@
 	servers := (cfg.Sockets - otherSockets) * 9 / 20
 	clients := newClients(cfg.Sockets - otherSockets - servers)
 	up := newUpstream(cfg.Site.ConnIdle, cfg.Site.ConnectTimeout, servers)
-	disco := newDiscovery(cfg.Discovery, set.ListAsked, cfg.Site.Zones, c, log)
+	disco := newDiscovery(cfg.Discovery, cfg.Site, c, log)
 	l, err := newLoop(set, cfg.Seed, c, up, disco.watch)
 	if err != nil {
 		return err
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -39,6 +39,7 @@
 	changed map[string]int64 // uid: version of the last change
 	news    chan struct{}    // closed and replaced at each change
 	down    bool
+	silent  chan<- time.Time // watches that begin say so here and are never answered
 	failed  int
 	asked   bool   // the settings say that nodes have to ask
 	site    string // the settings, where not the usual ones
@@ -79,9 +80,17 @@
 		since, _ = strconv.ParseInt(text, 10, 64)
 		d.watched = since
 		if news := d.news; since >= d.rev {
+			wait, _ := strconv.Atoi(r.URL.Query().Get("timeout_ms"))
+			silent := d.silent
 			d.mu.Unlock()
+			over := time.After(time.Duration(wait) * time.Millisecond)
+			if silent != nil {
+				silent <- time.Now()
+				news, over = nil, nil
+			}
 			select {
 			case <-news:
+			case <-over:
 			case <-r.Context().Done():
 			}
 			d.mu.Lock()
@@ -399,6 +408,47 @@
 	}
 }
 
+// Guards rule 3 against a watch that has fallen silent: what it misses counts as told 6 s
+// after that at the latest, so by then the node has closed it and asked anew.
+func TestSilentWatchIsOpenedAnew(t *testing.T) {
+	for name, asked := range map[string]bool{"pushed": false, "asked": true} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s1, s2 := newServer(t, says(ok("1"), true)), newServer(t, says(ok("2"), true))
+			d := newRegistry(t, listed(s1, "s1"), listed(s2, "s2"))
+			d.asked = asked
+			addr, _ := startNode(t, d)
+			d.told(t)
+			silent := make(chan time.Time, 1)
+			d.set(func() { d.silent = silent }) // ends the watch that is open
+			fell := <-silent
+			d.set(func() { d.silent = nil })
+			gone := listed(s1, "s1")
+			gone.State = "terminating"
+			d.change(gone)
+			d.told(t)
+			if took := time.Since(fell); took > 6*time.Second {
+				t.Errorf("the node watches again after %v", took)
+			}
+			for range 5 {
+				if code, _, body := do(t, clientRequest(t, addr, "read", "2.5")); code != http.StatusOK || body != "2" {
+					t.Errorf("answered %d %q, want 200 from the server that stays", code, body)
+				}
+			}
+		})
+	}
+}
+
+// Guards rule 3 at the return of an agent: what it gets then counts as told at once.
+func TestAgentThatIsDownIsCalledWithinTheDrainGrace(t *testing.T) {
+	for grace, want := range map[string]time.Duration{"300": 100 * time.Millisecond, "30": backoffFirst, "60000": backoffMost} {
+		site := siteOf(t, strings.Replace(settings, "{", `{"Contract": {"DrainGraceMs": `+grace+`},`, 1))
+		if d := newDiscovery("", site, newClock(), slog.New(slog.DiscardHandler)); d.backoffMost != want {
+			t.Errorf("grace of %s ms: calls are up to %v apart, want %v", grace, d.backoffMost, want)
+		}
+	}
+}
+
 // With discovery down from the start the known list has to do.
 func TestKnownListServesWhileDiscoveryIsDown(t *testing.T) {
 	s := newServer(t, says(ok("1"), true))
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -54,6 +54,7 @@
 	Contract struct {
 		ColdFrom, FallMultiple      *float64
 		ColdMs, FallMs, MustAskInMs ms
+		DrainGraceMs                ms
 	}
 	CountedBy  string
 	Deductions struct{ Waste, LateFail float64 }
@@ -79,6 +80,7 @@
 	Zones          []string
 	ConnIdle       time.Duration // a server closes a connection that was idle for so long
 	ConnectTimeout time.Duration
+	DrainGrace     time.Duration // a server told to drain may be sent to for so long
 }
 
 // set replaces a default by what was given.
@@ -112,6 +114,7 @@
 		Settings: s, Zones: j.Zones,
 		ConnIdle:       j.Limits.ConnIdleMs.or(15 * time.Second),
 		ConnectTimeout: j.Limits.ConnectTimeoutMs.or(250 * time.Millisecond),
+		DrainGrace:     j.Contract.DrainGraceMs.or(250 * time.Millisecond),
 	}
 	for i, c := range j.Classes {
 		if c.Name == "" {
--- a/policy/api.go
+++ b/policy/api.go
@@ -121,6 +121,7 @@
 	ListFull                   // all servers
 	ListCached                 // all servers as known some time ago
 	ListFailed                 // a call failed or the watch broke; the old list stays
+	ListSilent                 // the watch gave no answer in its time and was closed; the old list stays
 )
 
 // Request is a client's request as it comes in.
--- a/policy/fleet_test.go
+++ b/policy/fleet_test.go
@@ -98,6 +98,7 @@
 func TestFirstCallComesBeforeItCountsAsTold(t *testing.T) {
 	set := testSettings()
 	set.Nodes, set.ListAsked = 400, true
+	call := 500 * ms // what a call may take
 	for seed := range uint64(40) {
 		h := newHost()
 		b, err := New(set, seed, h)
@@ -105,10 +106,28 @@
 			t.Fatal(err)
 		}
 		r := &rig{t: t, b: b, h: h, now: time.Hour}
+		expect := func(after string, within time.Duration) {
+			t.Helper()
+			calls := h.watches
+			r.pass(within - call)
+			if h.watches == calls {
+				t.Fatalf("seed %d: no call within %v of %s", seed, within-call, after)
+			}
+			r.list(ListDelta)
+		}
 		r.list(ListCached, ready(1, 60)...)
-		r.pass(set.Rules.MustAsk)
-		if h.watches == 0 {
-			t.Fatalf("seed %d: no call within %v", seed, set.Rules.MustAsk)
+		expect("the start", set.Rules.MustAsk)
+		r.list(ListFailed)
+		expect("the end of the watch", set.Rules.MustAsk)
+		r.list(ListSilent) // noticed 3 s after its call at the latest, which leaves 3 s
+		expect("a silent watch", 3*time.Second)
+		r.list(ListSilent)
+		calls := h.watches
+		r.pass(3*time.Second - call)
+		if h.watches == calls {
+			t.Fatalf("seed %d: no call after a second silent watch", seed)
 		}
+		r.list(ListSilent) // the call that came of it
+		expect("two silent watches", 3*time.Second)
 	}
 }
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -43,6 +43,7 @@
 	sweepEvery     = 10 * time.Millisecond
 	callEach       = 125 * time.Millisecond // nodes that ask for the list at once do so over this time each
 	watchAgain     = 500 * time.Millisecond // or over this after a failure, if that is longer
+	silentSpan     = 2 * time.Second        // over this at most after a silent watch: it counts as told soon
 	attemptsMost   = 16                     // whatever the settings allow
 )
 
@@ -52,15 +53,25 @@
 // the start, and again after each failure. One service answers all nodes in turn and
 // works on calls that have waited too long all the same, so nodes that start or fail
 // together must not call together: each takes a random place in a span of time that
-// has room for all of them, and a longer one after each failure.
+// has room for all of them, and a longer one after each further failure. What a silent
+// watch misses counts as told soon, so that its node can't wait for all others.
 func (b *Balancer) Members(now time.Duration, kind ListKind, entries []Entry) {
-	if kind == ListFailed {
+	switch {
+	case kind == ListSilent:
+		b.watching, b.watchSpan = false, min(b.watchSpan, silentSpan)
+		b.watchLater(now)
+		return
+	case kind == ListFailed && b.watching:
+		b.watching, b.watchSpan = false, max(b.firstSpan(), watchAgain)
+		b.watchLater(now)
+		return
+	case kind == ListFailed:
 		b.watchSpan = min(max(b.watchSpan, watchAgain), b.firstSpan()+b.set.Rules.MustAsk/4)
 		b.watchLater(now + b.watchSpan/2) // once a span in the mean
 		b.watchSpan *= 2
 		return
 	}
-	b.watchSpan = b.firstSpan()
+	b.watching, b.watchSpan = kind != ListCached, b.firstSpan()
 	if kind == ListCached && b.set.ListAsked {
 		b.watchLater(now)
 	}
@@ -69,10 +80,10 @@
 	b.dispatch(now)
 }
 
-// firstSpan is the time that calls of all nodes are spread over. A node that has not asked for MustAsk
-// counts as told, so it must not wait for longer.
+// firstSpan is the time that calls of all nodes are spread over. What changes counts as told MustAsk
+// after a node's last call or the end of its watch; an eighth of that is left for the call itself.
 func (b *Balancer) firstSpan() time.Duration {
-	return min(time.Duration(b.set.Nodes)*callEach, b.set.Rules.MustAsk)
+	return min(time.Duration(b.set.Nodes)*callEach, b.set.Rules.MustAsk*7/8)
 }
 
 // watchLater asks for a watch at a random time of the span that begins now.
--- a/policy/state.go
+++ b/policy/state.go
@@ -174,6 +174,7 @@
 	copyTokens  float64
 	sweeping    bool
 	watchSpan   time.Duration // calls for the list go out at a random time of this
+	watching    bool          // the last call for it succeeded
 }
 
 func (s *server) forget(oldest *outcome) {
