Take back attempts not begun from servers that leave and for clients who left

Seen: forced on real sockets, a request whose connection came up after its server's drain was told went to that server ('1 requests to the server that drains'); and one whose client left during the connect was sent on where the settings allow no cancels. Cause: nothing looks at the list between policy.send and the attempt's first byte, and state.cancel does nothing where Limits.Cancel is off. Mend: Host.Withdraw ends an attempt that has not begun as Moot. The module withdraws at each list what is out at servers that are not ready, and at the end of a request what it may not cancel.

--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -391,6 +391,20 @@
 
 // Cancel implements policy.Host.
 func (l *loop) Cancel(id policy.RequestID, index int) {
+	l.later(id, index, func(a *attempt) { l.abandon(a, policy.Cancelled) })
+}
+
+// Withdraw implements policy.Host.
+func (l *loop) Withdraw(id policy.RequestID, index int) {
+	l.later(id, index, func(a *attempt) {
+		if a.phase.CompareAndSwap(unsent, abandoned) {
+			l.outcome(a, policy.Moot, l.now)
+		}
+	})
+}
+
+// later does something to an attempt after the present event, unless it is over by then.
+func (l *loop) later(id policy.RequestID, index int, do func(*attempt)) {
 	r := l.requests[id]
 	if r == nil || index >= len(r.attempts) {
 		return
@@ -398,7 +412,7 @@
 	a := r.attempts[index]
 	l.queue = append(l.queue, func() {
 		if !a.over {
-			l.abandon(a, policy.Cancelled)
+			do(a)
 		}
 	})
 }
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -642,6 +642,66 @@
 	}
 }
 
+// lateConnect has a loop send a request to a machine whose connections don't come up, and
+// gives the machine, the request as the loop holds it, and its answer to come.
+func lateConnect(t *testing.T, class int, change func(*policy.Settings)) (l *loop, r *request, machine func(string) *server, done chan answer) {
+	t.Helper()
+	addr, machine := silentMachine(t)
+	set := siteOf(t, settings).Settings
+	change(&set)
+	l, err := newLoop(set, 1, newClock(), newUpstream(time.Hour, patience, 8), func() {})
+	if err != nil {
+		t.Fatal(err)
+	}
+	go l.run(t.Context())
+	done = make(chan answer, 1)
+	sent := make(chan *request)
+	l.post(func() {
+		l.members(policy.ListFull, []policy.Entry{{Server: 1, State: policy.Ready}}, []string{addr})
+		m := push()
+		m.deadline = l.now + time.Hour
+		sent <- l.submit(policy.Request{Class: class}, m, done)
+	})
+	return l, <-sent, machine, done
+}
+
+// Guards rule 3 where a list is learned between the pick and the first byte: the connection
+// that was late comes up when its server drains, and the request goes elsewhere.
+func TestLateConnectionToAServerThatDrains(t *testing.T) {
+	l, _, machine, done := lateConnect(t, 2, func(set *policy.Settings) { set.Limits.Cancel = false })
+	other := newServer(t, says(ok("2"), true))
+	l.post(func() {
+		l.members(policy.ListDelta, []policy.Entry{{Server: 1, State: policy.Draining}, {Server: 2, State: policy.Ready}},
+			[]string{"", other.addr})
+	})
+	drains := machine(ok("1")) // now its connections come up
+	select {
+	case a := <-done:
+		if a.kind != served || string(a.reply.body) != "2" {
+			t.Errorf("answered %d %q, want the other server's answer", a.kind, a.reply.body)
+		}
+	case <-time.After(patience):
+		t.Fatal("no answer")
+	}
+	if n := drains.requests.Load(); n != 0 {
+		t.Errorf("%d requests to the server that drains", n)
+	}
+}
+
+// Guards against sending on a request whose client left while its connection came up, also
+// where the settings allow no cancels.
+func TestClientLeavesDuringALateConnect(t *testing.T) {
+	for _, may := range []bool{false, true} {
+		l, r, _, _ := lateConnect(t, 0, func(set *policy.Settings) { set.Limits.Cancel = may })
+		over := make(chan bool, 1)
+		l.post(func() { l.left(r) })
+		l.post(func() { over <- !r.attempts[0].begin() && r.attempts[0].over && len(l.requests) == 0 })
+		if !<-over {
+			t.Errorf("cancels allowed %v: the attempt may still begin", may)
+		}
+	}
+}
+
 // dialClient opens a connection of its own; ask sends a request on it and gives
 // the answer's status.
 func dialClient(t *testing.T, addr string) (c net.Conn, ask func() (int, error)) {
--- a/internal/node/upstream_test.go
+++ b/internal/node/upstream_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync/atomic"
 	"syscall"
@@ -32,6 +33,10 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	return serveOn(t, l, handle)
+}
+
+func serveOn(t *testing.T, l net.Listener, handle func(n int64, r *http.Request, c net.Conn) bool) *server {
 	t.Cleanup(func() { l.Close() })
 	s := &server{addr: l.Addr().String()}
 	go func() {
@@ -187,14 +192,15 @@
 	}
 }
 
-// A cut-off machine says nothing: the connection never comes up. A listener
-// whose queue is full acts the same.
-func TestSilentMachineCouldNotConnect(t *testing.T) {
+// silentMachine listens, but connections to it never come up: its queue is full, until
+// answer makes it a server.
+func silentMachine(t *testing.T) (addr string, answer func(text string) *server) {
+	t.Helper()
 	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer syscall.Close(fd)
+	t.Cleanup(func() { syscall.Close(fd) })
 	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
 		t.Fatal(err)
 	}
@@ -205,13 +211,32 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	addr := fmt.Sprintf("127.0.0.1:%d", name.(*syscall.SockaddrInet4).Port)
+	addr = fmt.Sprintf("127.0.0.1:%d", name.(*syscall.SockaddrInet4).Port)
 	for full := false; !full; {
 		c, err := net.DialTimeout("tcp", addr, 300*time.Millisecond)
 		if full = err != nil; !full {
-			defer c.Close()
+			t.Cleanup(func() { c.Close() })
+		}
+	}
+	return addr, func(text string) *server {
+		dup, err := syscall.Dup(fd)
+		if err != nil {
+			t.Fatal(err)
+		}
+		file := os.NewFile(uintptr(dup), addr)
+		defer file.Close() // the listener has a descriptor of its own
+		l, err := net.FileListener(file)
+		if err != nil {
+			t.Fatal(err)
 		}
+		return serveOn(t, l, says(text, true))
 	}
+}
+
+// A cut-off machine says nothing: the connection never comes up. A listener
+// whose queue is full acts the same.
+func TestSilentMachineCouldNotConnect(t *testing.T) {
+	addr, _ := silentMachine(t)
 	u := newUpstream(time.Hour, 200*time.Millisecond, 8)
 	if p := u.roundTrip(t.Context(), at(addr), push(), time.Second, yes); p.status != policy.ConnectFailed {
 		t.Errorf("status %d, want could not connect", p.status)
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -325,6 +325,10 @@
 	binary.BigEndian.PutUint16(r.forRequest(actCancel, id)[5:], uint16(attempt))
 }
 
+// Withdraw implements policy.Host. The simulator's attempts begin as they are sent: there is
+// nothing to take back.
+func (r *Reply) Withdraw(policy.RequestID, int) {}
+
 // Refuse implements policy.Host.
 func (r *Reply) Refuse(id policy.RequestID, retryAfter time.Duration) {
 	putMs(r.forRequest(actRefuse, id)[5:], retryAfter)
--- a/policy/api.go
+++ b/policy/api.go
@@ -166,6 +166,9 @@
 	Send(id RequestID, server ServerID, timeout time.Duration)
 	// Cancel stops waiting for an attempt that is out.
 	Cancel(id RequestID, attempt int)
+	// Withdraw takes back an attempt that is out and not begun, as one that waits for its
+	// connection: it ends as Moot. One that has begun goes on. It needs no permission.
+	Withdraw(id RequestID, attempt int)
 	// Refuse is a final answer and a promise: trying again does no harm.
 	Refuse(id RequestID, retryAfter time.Duration)
 	// Fail is a final answer that promises nothing.
--- a/policy/example_test.go
+++ b/policy/example_test.go
@@ -14,6 +14,9 @@
 	fmt.Println("send request", id)
 }
 func (p *printer) Cancel(id policy.RequestID, attempt int) { fmt.Println("cancel", id, attempt) }
+func (p *printer) Withdraw(id policy.RequestID, attempt int) {
+	fmt.Println("withdraw", id, attempt)
+}
 func (p *printer) Refuse(id policy.RequestID, after time.Duration) {
 	fmt.Println("refuse request", id, "retry after", after > 0)
 }
--- a/policy/invariants_test.go
+++ b/policy/invariants_test.go
@@ -34,6 +34,8 @@
 	sent     time.Duration
 	out      bool
 	neverRan bool
+	asked    bool // it was to be taken back
+	moot     bool // and will be
 }
 
 func (w *world) Send(id RequestID, server ServerID, timeout time.Duration) {
@@ -62,6 +64,22 @@
 	p.attempts = append(p.attempts, &playedAttempt{server: s, sent: w.now, out: true})
 }
 
+// Withdraw takes back one attempt in two: the others have begun.
+func (w *world) Withdraw(id RequestID, attempt int) {
+	w.fakeHost.Withdraw(id, attempt)
+	p := w.open[id]
+	if p == nil || attempt >= len(p.attempts) || !p.attempts[attempt].out {
+		w.t.Errorf("%v: withdrew attempt %d of request %d, which is not out", w.now, attempt, id)
+		return
+	}
+	a := p.attempts[attempt]
+	if !p.done && w.state[a.server.Server].State == Ready {
+		w.t.Errorf("%v: withdrew request %d from server %d, which is ready", w.now, id, a.server.Server)
+	}
+	a.asked = true
+	a.moot = w.rng.IntN(2) == 0
+}
+
 func (w *world) answer(id RequestID) *played {
 	w.answered[id]++
 	p := w.open[id]
@@ -101,8 +119,11 @@
 	if p.done {
 		status = Cancelled
 	}
+	if a.moot {
+		status = Moot
+	}
 	a.out = false
-	a.neverRan = status == Full || status == ConnectFailed
+	a.neverRan = status == Full || status == ConnectFailed || status == Moot
 	if status == OK {
 		w.answer(id)
 	}
@@ -114,7 +135,7 @@
 	for _, id := range ids {
 		p := w.open[id]
 		for i, a := range p.attempts {
-			if a.out && (w.now >= p.end || p.done || w.rng.IntN(12) == 0) {
+			if a.out && (w.now >= p.end || p.done || a.moot || w.rng.IntN(12) == 0) {
 				w.outcome(id, p, i)
 			}
 		}
@@ -148,12 +169,20 @@
 	}
 	w.state[id] = e
 	w.b.Members(w.now, ListDelta, []Entry{e})
+	for request, p := range w.open {
+		for i, a := range p.attempts {
+			if a.out && !p.done && a.server.Server == id && e.State != Ready && !a.asked {
+				w.t.Errorf("%v: attempt %d of request %d at server %d was not taken back", w.now, i, request, id)
+			}
+		}
+	}
 }
 
 func playScript(t *testing.T, seed uint64) []string {
 	set := testSettings()
 	set.Classes[0].LateWorth = 0.5
 	set.Tenants = []Tenant{{QuotaPerS: 50}}
+	set.Limits.Cancel = seed%2 == 0
 	w := &world{fakeHost: newHost(), t: t, rng: rand.New(rand.NewPCG(seed, 1)), now: time.Hour,
 		open: map[RequestID]*played{}, answered: map[RequestID]int{}, state: map[ServerID]Entry{}}
 	b, err := New(set, seed, w)
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -76,10 +76,22 @@
 		b.watchLater(now)
 	}
 	b.list(kind, entries)
+	b.takeBack()
 	b.refreshed = -1
 	b.dispatch(now)
 }
 
+// takeBack withdraws what may still wait for a connection to a server that takes no new work.
+func (b *Balancer) takeBack() {
+	for _, r := range b.open {
+		for i := range r.attempts {
+			if a := &r.attempts[i]; a.out && a.server.State != Ready {
+				b.host.Withdraw(r.ID, i)
+			}
+		}
+	}
+}
+
 // firstSpan is the time that calls of all nodes are spread over. What changes counts as told MustAsk
 // after a node's last call or the end of its watch; an eighth of that is left for the call itself.
 func (b *Balancer) firstSpan() time.Duration {
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -14,13 +15,14 @@
 
 // fakeHost records the actions of one Balancer.
 type fakeHost struct {
-	sends   []sent
-	cancels int
-	refused map[RequestID]time.Duration
-	failed  map[RequestID]bool
-	timers  []timer
-	watches int
-	log     []string
+	sends     []sent
+	cancels   int
+	withdrawn []taken
+	refused   map[RequestID]time.Duration
+	failed    map[RequestID]bool
+	timers    []timer
+	watches   int
+	log       []string
 }
 
 type sent struct {
@@ -28,6 +30,11 @@
 	server ServerID
 }
 
+type taken struct {
+	id      RequestID
+	attempt int
+}
+
 type timer struct {
 	at    time.Duration
 	token uint64
@@ -51,6 +58,11 @@
 	h.cancels++
 }
 
+func (h *fakeHost) Withdraw(id RequestID, attempt int) {
+	h.note("withdraw %d %d", id, attempt)
+	h.withdrawn = append(h.withdrawn, taken{id, attempt})
+}
+
 func (h *fakeHost) Refuse(id RequestID, after time.Duration) {
 	h.note("refuse %d %v", id, after)
 	h.refused[id] = after
@@ -359,6 +371,44 @@
 	}
 }
 
+// Guards against a late connection: what waits for one to a server that drains or is gone is
+// taken back, whatever is cancelled, and goes elsewhere.
+func TestAttemptsAtServersThatLeaveAreTakenBack(t *testing.T) {
+	for _, leave := range []func(r *rig){
+		func(r *rig) { r.list(ListDelta, Entry{Server: 1, State: Draining}, ready(2, 2)[0]) },
+		func(r *rig) { r.list(ListDelta, Entry{Server: 1, State: Gone}, ready(2, 2)[0]) },
+		func(r *rig) { r.list(ListFull, ready(2, 2)...) },
+	} {
+		set := testSettings()
+		set.Limits.Cancel = false
+		r := newRig(t, set, 1)
+		id := r.request(2) // must not run twice
+		leave(r)
+		if !slices.Equal(r.h.withdrawn, []taken{{id, 0}}) {
+			t.Fatalf("taken back: %v, want the attempt at server 1", r.h.withdrawn)
+		}
+		r.end(id, Moot, ms)
+		r.pass(time.Second)
+		if got := r.sendsOf(id); !slices.Equal(got, []ServerID{1, 2}) {
+			t.Errorf("sent to %v, want server 1 and then server 2", got)
+		}
+	}
+}
+
+// Guards against sending on for a client who has left, where cancels are not allowed too.
+func TestAttemptsOfAClientWhoLeftAreTakenBack(t *testing.T) {
+	for _, may := range []bool{false, true} {
+		set := testSettings()
+		set.Limits.Cancel = may
+		r := newRig(t, set, 3)
+		id := r.request(0)
+		r.b.Left(r.now, id)
+		if withdrawn := len(r.h.withdrawn) > 0; withdrawn == may || (r.h.cancels > 0) != may {
+			t.Errorf("cancels allowed %v: %d cancelled, %d taken back", may, r.h.cancels, len(r.h.withdrawn))
+		}
+	}
+}
+
 // Guards against work sent after a notice, also by retries and held requests.
 func TestNothingAfterADrainNotice(t *testing.T) {
 	set := testSettings()
--- a/policy/state.go
+++ b/policy/state.go
@@ -480,11 +480,15 @@
 	}
 }
 
-// cancel stops the attempts that are out but for one.
+// cancel stops the attempts that are out but for one; where that is not allowed, those not begun.
 func (b *Balancer) cancel(r *request, kept *attempt) {
 	for i := range r.attempts {
-		if a := &r.attempts[i]; a.out && a != kept && b.set.Limits.Cancel {
+		switch a := &r.attempts[i]; {
+		case !a.out || a == kept:
+		case b.set.Limits.Cancel:
 			b.host.Cancel(r.ID, i)
+		default:
+			b.host.Withdraw(r.ID, i)
 		}
 	}
 }
