Let answers be written after any deadline that the settings give

Found in the review: net/http cuts an answer 15 s after the request's head, a fixed figure chosen as 'over any deadline'; a class with a deadline of 16 s would lose its last answers. The limit is now the longest deadline and 12 s.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -36,7 +36,7 @@
 	leaveFor     = 20 * time.Millisecond // for idle connections to end by themselves
 
 	readTimeout  = 2 * time.Second  // a client may take so long over a head and body together
-	writeTimeout = 15 * time.Second // from the head on: over any deadline
+	writeTimeout = 12 * time.Second // to write an answer, beyond the longest deadline
 	idleTimeout  = 30 * time.Second // some ask once and never close
 	maxHeader    = 16 << 10
 )
@@ -55,15 +55,22 @@
 	return serve(ctx, cfg, listener, reloads, log)
 }
 
-// drainTime is how long a node that was told to end lives at least.
-func drainTime(classes []policy.Class) time.Duration {
-	longest := time.Duration(0)
+// longest is the longest deadline.
+func longest(classes []policy.Class) (deadline time.Duration) {
 	for _, class := range classes {
-		longest = max(longest, class.Deadline)
+		deadline = max(deadline, class.Deadline)
 	}
-	return min(longest, drainLongest) + drainGrace
+	return deadline
 }
 
+// drainTime is how long a node that was told to end lives at least.
+func drainTime(classes []policy.Class) time.Duration {
+	return min(longest(classes), drainLongest) + drainGrace
+}
+
+// writeLimit is when an answer is written at the latest, from the request's head on.
+func writeLimit(classes []policy.Class) time.Duration { return longest(classes) + writeTimeout }
+
 func serve(ctx context.Context, cfg Config, listener net.Listener, reloads Reloads, log *slog.Logger) error {
 	defer listener.Close()
 	c := newClock()
@@ -117,7 +124,7 @@
 	f := newFront(l, cfg.Site, clients, bodies, ready.Load)
 	server := http.Server{
 		Handler: f, ReadHeaderTimeout: readTimeout, ReadTimeout: readTimeout,
-		WriteTimeout: writeTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
+		WriteTimeout: writeLimit(set.Classes), IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
 		ConnState: clients.state,
 		ErrorLog:  slog.NewLogLogger(log.Handler(), slog.LevelDebug),
 	}
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -607,6 +607,9 @@
 			t.Errorf("deadline %v: the kill is expected after %v, want %v", longest, got, want)
 		}
 	}
+	if got := writeLimit([]policy.Class{{Deadline: time.Minute}}); got <= time.Minute {
+		t.Errorf("answers of a class with a deadline of a minute are cut off after %v", got)
+	}
 	came := make(chan struct{}, 2)
 	s := newServer(t, func(_ int64, _ *http.Request, c net.Conn) bool {
 		came <- struct{}{}
