--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -23,10 +23,11 @@
 	leastSockets = 64
 
 	// A node that was told to end is killed no sooner than drainGrace and the longest
-	// deadline later, a deadline over drainLongest counting as that. Clients go on using what connections stay open, and on a tier of
-	// one can go nowhere else, so it serves until shortly before: answers are due
-	// drainSpare ahead of that, connections end from drainLeave ahead of it on, those
-	// behind an answer before those that must be closed while idle.
+	// deadline later, a deadline over drainLongest counting as that. Clients go on using
+	// what connections stay open, and on a tier of one can go nowhere else, so it serves
+	// until shortly before: answers are due drainSpare ahead of that, connections end from
+	// drainLeave ahead of it on, those behind an answer before those that must be closed
+	// while idle.
 	drainGrace   = 700 * time.Millisecond
 	drainLongest = 3 * time.Second
 	drainAccept  = 450 * time.Millisecond // clients connect for up to 0.4 s
