Write nothing of a keyed request past the window that drops its repeats

Design: the module sets the end with Host.WriteBy, counted from the first attempt that may have run; it holds for all attempts of the request, as the first may be the late one while its second copy has run. The node asks the clock at the first byte and cuts off what is not written whole by then. The simulator's attempts count as they are sent.

--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -67,6 +67,7 @@
 	answered bool
 	attempts []*attempt
 	out      int
+	writeBy  atomic.Int64 // no byte of an attempt goes out from then on; 0: no limit
 }
 
 // The phases of an attempt's write. They are shared with its goroutine, so that
@@ -75,10 +76,12 @@
 const (
 	unsent int32 = iota
 	writing
+	whole
 	abandoned
 )
 
 type attempt struct {
+	clock   clock
 	request *request
 	index   int
 	server  policy.ServerID
@@ -88,8 +91,15 @@
 	over    bool // its outcome was told; what still comes is dropped
 }
 
-// begin claims the right to write the request; false once the loop gave it up.
-func (a *attempt) begin() bool { return a.phase.CompareAndSwap(unsent, writing) }
+// begin claims the right to write the request; false once the loop gave it up or the time
+// for it is over. It implements permit.
+func (a *attempt) begin() bool {
+	by := time.Duration(a.request.writeBy.Load())
+	return (by == 0 || a.clock.now() < by) && a.phase.CompareAndSwap(unsent, writing)
+}
+
+// wrote notes that the last byte is out.
+func (a *attempt) wrote() { a.phase.CompareAndSwap(writing, whole) }
 
 // timer is an entry of the one heap of timers.
 type timer struct {
@@ -323,6 +333,24 @@
 	l.outcome(a, status, l.now)
 }
 
+// cutOff takes back the attempts that are not written whole by then, unless another end was
+// set since. One whose write is under way finds its connection broken and knows best whether
+// the last byte went out before that.
+func (l *loop) cutOff(r *request, by time.Duration) {
+	if r.writeBy.Load() != int64(by) {
+		return
+	}
+	for _, a := range r.attempts {
+		switch {
+		case a.over:
+		case a.phase.CompareAndSwap(unsent, abandoned):
+			l.outcome(a, policy.Moot, l.now)
+		case a.phase.CompareAndSwap(writing, abandoned):
+			a.cancel()
+		}
+	}
+}
+
 // outcome tells the module of an attempt's end, once for each.
 func (l *loop) outcome(a *attempt, status policy.Status, at time.Duration) {
 	r := a.request
@@ -363,7 +391,7 @@
 		return
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	a := &attempt{request: r, index: len(r.attempts), server: server, sent: l.now, cancel: cancel}
+	a := &attempt{clock: l.clock, request: r, index: len(r.attempts), server: server, sent: l.now, cancel: cancel}
 	r.attempts = append(r.attempts, a)
 	r.out++
 	to, listed := l.servers[server]
@@ -383,12 +411,23 @@
 	}
 	m := r.message
 	go func() {
-		p := l.upstream.roundTrip(ctx, to, m, wait, a.begin)
+		p := l.upstream.roundTrip(ctx, to, m, wait, a)
 		at := l.clock.now()
 		l.post(func() { l.finished(a, p, at) })
 	}()
 }
 
+// WriteBy implements policy.Host.
+func (l *loop) WriteBy(id policy.RequestID, at time.Duration) {
+	r := l.requests[id]
+	if r == nil {
+		return
+	}
+	if r.writeBy.Store(int64(at)); at > 0 {
+		l.after(at, func() { l.cutOff(r, at) })
+	}
+}
+
 // Cancel implements policy.Host.
 func (l *loop) Cancel(id policy.RequestID, index int) {
 	l.later(id, index, func(a *attempt) { l.abandon(a, policy.Cancelled) })
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -709,6 +709,114 @@
 	}
 }
 
+// Guards the window of a keyed request where its repeat is decided on within it and can be
+// written only after it: the connection comes up late, the write stalls half-way, or it is
+// the first attempt that is late while a second copy has run. Seen on zone+brink: decided
+// 135 ms after the first attempt, written after 299 ms, the window being 200 ms.
+func TestNothingIsWrittenPastTheWindow(t *testing.T) {
+	resets := func(int64, *http.Request, net.Conn) bool { return false }
+	hangs := func(_ int64, _ *http.Request, c net.Conn) bool { c.Read(make([]byte, 1)); return false }
+	for name, late := range map[string]struct {
+		first  func(t *testing.T) (addr string, up func() *server) // the two servers, in the
+		second func(t *testing.T) (addr string, up func() *server) // order of the attempts
+		which  int                                                 // the attempt that is late,
+		phase  int32                                               // and where it stands at the window's end
+	}{
+		"a late connection":    {standing(resets), lateMachine, 1, unsent},
+		"a stalled write":      {standing(resets), deafMachine, 1, writing},
+		"a late first attempt": {lateMachine, standing(hangs), 0, unsent},
+	} {
+		t.Run(name, func(t *testing.T) {
+			set := siteOf(t, settings).Settings
+			set.Limits.SecondCopies = late.which == 0
+			set.Classes = set.Classes[1:2]
+			c := &set.Classes[0]
+			c.Deadline, c.Window = time.Hour, time.Minute
+			c.Aim, c.AimStretch = 80*time.Millisecond, 3600 // repeats soon, and is of use for long
+			l, err := newLoop(set, 1, newClock(), newUpstream(time.Hour, patience, 8), func() {})
+			if err != nil {
+				t.Fatal(err)
+			}
+			go l.run(t.Context())
+			one, up1 := late.first(t)
+			two, up2 := late.second(t)
+			done, sent := make(chan answer, 1), make(chan *request)
+			l.post(func() {
+				for range 10 { // each is refused and saves up a tenth of a second copy
+					l.balancer.Request(l.now, policy.Request{ID: 1 << 31})
+				}
+				l.members(policy.ListFull, []policy.Entry{{Server: 1, State: policy.Ready}}, []string{one})
+				m := push()
+				m.body, m.deadline = make([]byte, 16<<20), l.now+time.Hour // more than buffers hold
+				sent <- l.submit(policy.Request{Hint: time.Second}, m, done)
+				l.members(policy.ListDelta, []policy.Entry{{Server: 2, State: policy.Ready}}, []string{two})
+			})
+			r := <-sent
+			look := func(is func() bool) bool { // in the loop, which owns the request
+				looked := make(chan bool)
+				l.post(func() { looked <- is() })
+				return <-looked
+			}
+			waitFor(t, "attempt that is late beside one that may have run", func() bool {
+				return look(func() bool {
+					return len(r.attempts) == 2 && r.attempts[late.which].phase.Load() == late.phase &&
+						r.attempts[1-late.which].phase.Load() == whole
+				})
+			})
+			l.post(func() { l.clock.start = l.clock.start.Add(-c.Window) }) // the window is over
+			look(func() bool { return true })                               // and its timer has fired
+			s := []func() *server{up1, up2}[late.which]()                   // what was late may come
+			waitFor(t, "end of the attempt", func() bool { return look(func() bool { return r.attempts[late.which].over }) })
+			if n := s.requests.Load(); n != 0 {
+				t.Errorf("%d requests past the window", n)
+			}
+			if late.which == 1 {
+				if a := <-done; a.kind == served {
+					t.Error("served by a repeat past the window")
+				}
+			}
+		})
+	}
+}
+
+// Guards the instant between the window's end and its timer.
+func TestNoAttemptBeginsAtTheEndOfItsTime(t *testing.T) {
+	c := newClock()
+	a := attempt{clock: c, request: &request{}}
+	a.request.writeBy.Store(int64(c.now()))
+	if a.begin() {
+		t.Error("begins when its time is over")
+	}
+	a.request.writeBy.Store(int64(c.now() + time.Hour))
+	if !a.begin() {
+		t.Error("does not begin within its time")
+	}
+}
+
+// standing is a server that is up from the start.
+func standing(handle func(int64, *http.Request, net.Conn) bool) func(*testing.T) (string, func() *server) {
+	return func(t *testing.T) (string, func() *server) {
+		s := newServer(t, handle)
+		return s.addr, func() *server { return s }
+	}
+}
+
+// lateMachine is one whose connections come up once it is told to.
+func lateMachine(t *testing.T) (string, func() *server) {
+	addr, machine := silentMachine(t)
+	return addr, func() *server { return machine(ok("x")) }
+}
+
+// deafMachine is one that takes connections and reads nothing until it is told to.
+func deafMachine(t *testing.T) (string, func() *server) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	return l.Addr().String(), func() *server { return serveOn(t, l, says(ok("x"), true)) }
+}
+
 // dialClient opens a connection of its own; ask sends a request on it and gives
 // the answer's status.
 func dialClient(t *testing.T, addr string) (c net.Conn, ask func() (int, error)) {
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -112,10 +112,15 @@
 
 var errNoSockets = errors.New("all sockets in use")
 
-// roundTrip makes one attempt. begin is asked right before the first byte; if it
-// says no, nothing is written. The status follows from whether the last byte was
+// permit is what an attempt's write has to ask and to say.
+type permit interface {
+	begin() bool // asked right before the first byte; if it says no, nothing is written
+	wrote()      // the last byte is out
+}
+
+// roundTrip makes one attempt. The status follows from whether the last byte was
 // written: before that the request can't have run, after that it may have.
-func (u *upstream) roundTrip(ctx context.Context, to backend, m *message, wait time.Duration, begin func() bool) reply {
+func (u *upstream) roundTrip(ctx context.Context, to backend, m *message, wait time.Duration, may permit) reply {
 	c, err := u.get(ctx, to)
 	switch {
 	case errors.Is(err, errNoSockets):
@@ -124,7 +129,7 @@
 		return reply{status: policy.ConnectFailed}
 	}
 	release := context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) }) // wakes reads and writes
-	if !begin() {
+	if !may.begin() {
 		u.put(c, release())
 		return reply{status: policy.Moot}
 	}
@@ -133,6 +138,7 @@
 		u.put(c, false)
 		return reply{status: policy.ConnectFailed}
 	}
+	may.wrote()
 	p, reusable := c.read(ctx)
 	u.put(c, release() && reusable)
 	return p
--- a/internal/node/upstream_test.go
+++ b/internal/node/upstream_test.go
@@ -104,8 +104,14 @@
 	}
 }
 
+// always is a permit that says the same each time.
+type always bool
+
+func (a always) begin() bool { return bool(a) }
+func (always) wrote()        {}
+
 // yes lets an attempt be written.
-func yes() bool { return true }
+const yes = always(true)
 
 func testUpstream(t *testing.T, most int) *upstream {
 	u := newUpstream(time.Hour, patience, most)
@@ -332,7 +338,7 @@
 // Guards against an attempt going out after the loop gave it up.
 func TestNothingIsWrittenOnceGivenUp(t *testing.T) {
 	s, u := newServer(t, says(ok("x"), true)), testUpstream(t, 8)
-	if p := u.roundTrip(t.Context(), at(s.addr), push(), time.Second, func() bool { return false }); p.status != policy.Moot {
+	if p := u.roundTrip(t.Context(), at(s.addr), push(), time.Second, always(false)); p.status != policy.Moot {
 		t.Errorf("status %d, want never sent", p.status)
 	}
 	// The connection is as good as new; the next request is the first on it.
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -329,6 +329,10 @@
 // nothing to take back.
 func (r *Reply) Withdraw(policy.RequestID, int) {}
 
+// WriteBy implements policy.Host. The simulator's attempts count as written as they are sent:
+// none is late.
+func (r *Reply) WriteBy(policy.RequestID, time.Duration) {}
+
 // Refuse implements policy.Host.
 func (r *Reply) Refuse(id policy.RequestID, retryAfter time.Duration) {
 	putMs(r.forRequest(actRefuse, id)[5:], retryAfter)
--- a/policy/api.go
+++ b/policy/api.go
@@ -164,6 +164,10 @@
 type Host interface {
 	// Send starts an attempt. A timeout of 0 lasts until the client gives up.
 	Send(id RequestID, server ServerID, timeout time.Duration)
+	// WriteBy sets an end to what the attempts of a request rest on, those to come and those
+	// that are out: a connection may come up long after the decision, and one whose last byte is
+	// not written by then is taken back. 0: there is no such end.
+	WriteBy(id RequestID, at time.Duration)
 	// Cancel stops waiting for an attempt that is out.
 	Cancel(id RequestID, attempt int)
 	// Withdraw takes back an attempt that is out and not begun, as one that waits for its
--- a/policy/example_test.go
+++ b/policy/example_test.go
@@ -13,6 +13,7 @@
 func (p *printer) Send(id policy.RequestID, _ policy.ServerID, _ time.Duration) {
 	fmt.Println("send request", id)
 }
+func (p *printer) WriteBy(policy.RequestID, time.Duration) {}
 func (p *printer) Cancel(id policy.RequestID, attempt int) { fmt.Println("cancel", id, attempt) }
 func (p *printer) Withdraw(id policy.RequestID, attempt int) {
 	fmt.Println("withdraw", id, attempt)
--- a/policy/invariants_test.go
+++ b/policy/invariants_test.go
@@ -50,10 +50,14 @@
 	case len(p.attempts) >= 4:
 		w.t.Errorf("%v: request %d has too many attempts", w.now, id)
 	}
+	end := time.Duration(0)
 	for _, a := range p.attempts {
 		if a.neverRan {
 			continue
 		}
+		if by := a.sent + p.class.Window; p.class.Effect == Keyed && (end == 0 || by < end) {
+			end = by
+		}
 		if p.class.Effect == Unsafe {
 			w.t.Errorf("%v: unsafe request %d sent again though it may have run", w.now, id)
 		}
@@ -61,6 +65,9 @@
 			w.t.Errorf("%v: keyed request %d repeated out of its group or window", w.now, id)
 		}
 	}
+	if writeBy := w.writeBy[id]; writeBy != end {
+		w.t.Errorf("%v: request %d may be written until %v, want %v", w.now, id, writeBy, end)
+	}
 	p.attempts = append(p.attempts, &playedAttempt{server: s, sent: w.now, out: true})
 }
 
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -383,6 +383,7 @@
 
 // send starts an attempt; pick has asked the gate.
 func (b *Balancer) send(now time.Duration, r *request, s *server) {
+	writeBy := r.windowEnd()
 	a := b.begin(now, r, s)
 	if s.breaker == halfOpen {
 		s.trial = a
@@ -390,9 +391,24 @@
 	work := b.loneLatency(r)
 	s.rate.add(now, work)
 	s.coldSaved -= work
+	if writeBy != r.writeBy {
+		r.writeBy = writeBy
+		b.host.WriteBy(r.ID, writeBy)
+	}
 	b.host.Send(r.ID, s.Server, 0)
 }
 
+// windowEnd is when the window ends in which a further attempt is a repeat that its group drops,
+// counted from the first attempt that may have run; 0 where none may have.
+func (r *request) windowEnd() (by time.Duration) {
+	for i := range r.attempts {
+		if a := &r.attempts[i]; !a.neverRan && r.class.Effect == Keyed && (by == 0 || a.sent+r.class.Window < by) {
+			by = a.sent + r.class.Window
+		}
+	}
+	return by
+}
+
 // ---- requests
 
 // Request takes a client's request.
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -19,6 +19,7 @@
 	cancels   int
 	withdrawn []taken
 	refused   map[RequestID]time.Duration
+	writeBy   map[RequestID]time.Duration
 	failed    map[RequestID]bool
 	timers    []timer
 	watches   int
@@ -26,8 +27,9 @@
 }
 
 type sent struct {
-	id     RequestID
-	server ServerID
+	id      RequestID
+	server  ServerID
+	writeBy time.Duration // as told by then
 }
 
 type taken struct {
@@ -41,7 +43,7 @@
 }
 
 func newHost() *fakeHost {
-	return &fakeHost{refused: map[RequestID]time.Duration{}, failed: map[RequestID]bool{}}
+	return &fakeHost{refused: map[RequestID]time.Duration{}, failed: map[RequestID]bool{}, writeBy: map[RequestID]time.Duration{}}
 }
 
 func (h *fakeHost) note(format string, args ...any) {
@@ -50,7 +52,12 @@
 
 func (h *fakeHost) Send(id RequestID, server ServerID, timeout time.Duration) {
 	h.note("send %d %d %v", id, server, timeout)
-	h.sends = append(h.sends, sent{id, server})
+	h.sends = append(h.sends, sent{id, server, h.writeBy[id]})
+}
+
+func (h *fakeHost) WriteBy(id RequestID, at time.Duration) {
+	h.note("write %d by %v", id, at)
+	h.writeBy[id] = at
 }
 
 func (h *fakeHost) Cancel(id RequestID, attempt int) {
@@ -346,6 +353,38 @@
 	}
 }
 
+// Guards the window where a connection comes up late: what goes out again carries the window's
+// end, counted from the first attempt that may have run, and no other does.
+func TestRepeatCarriesTheEndOfItsWindow(t *testing.T) {
+	for first, want := range map[Status]time.Duration{Reset: time.Second, Full: 0} {
+		r := newRig(t, testSettings(), 9)
+		id, safe := r.request(1), r.request(0)
+		began := r.now
+		r.pass(30 * ms)
+		r.end(id, first, 30*ms)
+		r.end(safe, first, 30*ms)
+		r.pass(300 * ms)
+		if want > 0 {
+			want += began
+		}
+		repeats := 0
+		for i, s := range r.h.sends {
+			switch {
+			case i < 2 && s.writeBy != 0, s.id == safe && s.writeBy != 0:
+				t.Errorf("after %d: send %d of request %d is to be written by %v, want no end", first, i, s.id, s.writeBy)
+			case i >= 2 && s.id == id:
+				repeats++
+				if s.writeBy != want {
+					t.Errorf("after %d: the repeat is to be written by %v, want %v", first, s.writeBy, want)
+				}
+			}
+		}
+		if repeats == 0 {
+			t.Errorf("after %d: no repeat went out", first)
+		}
+	}
+}
+
 func TestBackoffGrowsAndFitsTheTimeLeft(t *testing.T) {
 	set := testSettings()
 	set.Limits.SecondCopies = false
--- a/policy/state.go
+++ b/policy/state.go
@@ -95,6 +95,7 @@
 	attempts []attempt
 	out      int
 	retryAt  time.Duration // waits for its backoff if not 0
+	writeBy  time.Duration // as the host was told
 	held     bool
 	stream   bool
 	done     bool
