Answer a request whose connection was told to go while its head was read

Cause, found by reading for what makes a client ask again while an attempt may have run: a connection is in the silent or idle list until net/http says StateActive, which it does after the whole head was read. An eviction (no room, or the end of a drain) in between left its mark in place: clients.SetReadDeadline kept the time limit in the past, net/http's background read failed and ended the request's context, front took it for a client that had left and returned, and net/http worded '200 OK' with no body while a server worked on the request. The test forces that crossing and saw 200 with an empty body.

Now StateActive undoes an eviction, and front aborts where the client has gone, so that net/http never words an answer of its own; a client that ends its sending and still reads got that 200 too.

--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -112,6 +112,11 @@
 func (c *client) stay() {
 	c.group.mu.Lock()
 	defer c.group.mu.Unlock()
+	c.remain()
+}
+
+// remain is stay with the lock held.
+func (c *client) remain() {
 	if c.leaving {
 		c.leaving = false
 		c.group.leaving--
@@ -129,6 +134,8 @@
 	case http.StateNew:
 		g.conns[c] = struct{}{}
 		c.move(&g.silent)
+	case http.StateActive:
+		c.remain() // the request was read before the eviction and told only now
 	case http.StateIdle:
 		c.move(&g.idle)
 	case http.StateClosed, http.StateHijacked:
--- a/internal/node/clients_test.go
+++ b/internal/node/clients_test.go
@@ -3,16 +3,19 @@
 import (
 	"bufio"
 	"bytes"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strings"
 	"testing"
 	"time"
 
 	"otterstep/internal/wire"
+	"otterstep/policy"
 )
 
 // raw sends bytes on a connection of its own and gives what comes back until its
@@ -270,6 +273,94 @@
 	}
 }
 
+// Guards rules 1 and 2 where a connection is told to go between its request's last byte and
+// net/http's word that a request is open: the client was answered 200 with no body while a
+// server worked on what it had asked for.
+func TestRequestThatCrossesAnEvictionIsAnswered(t *testing.T) {
+	came, hold := make(chan struct{}), make(chan struct{})
+	s := newServer(t, func(_ int64, _ *http.Request, c net.Conn) bool {
+		close(came)
+		<-hold
+		io.WriteString(c, ok("mine"))
+		return true
+	})
+	site := siteOf(t, settings)
+	l, err := newLoop(site.Settings, 1, newClock(), newUpstream(time.Hour, patience, 8), func() {})
+	if err != nil {
+		t.Fatal(err)
+	}
+	go l.run(t.Context())
+	l.post(func() { l.members(policy.ListFull, []policy.Entry{{Server: 1, State: policy.Ready}}, []string{s.addr}) })
+	g := newClients(8)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	left := make(chan struct{})
+	server := http.Server{
+		Handler:     newFront(l, site, g, 1<<20, func() bool { return true }),
+		ReadTimeout: patience,
+		ConnState: func(c net.Conn, state http.ConnState) {
+			if state == http.StateActive { // the whole request was read
+				g.leave()
+				close(left)
+			}
+			g.state(c, state)
+		},
+	}
+	go server.Serve(g.listener(listener))
+	defer server.Close()
+	type said struct {
+		code int
+		body string
+	}
+	answered := make(chan said, 1)
+	go func() {
+		code, _, body := do(t, clientRequest(t, listener.Addr().String(), "read", "2.9"))
+		answered <- said{code, body}
+	}()
+	<-left
+	select {
+	case <-came:
+	case a := <-answered:
+		t.Fatalf("answered %d %q before a server had the request", a.code, a.body)
+	case <-time.After(patience):
+		t.Fatal("neither sent on nor answered")
+	}
+	select {
+	case a := <-answered:
+		t.Fatalf("answered %d %q while a server works on the request", a.code, a.body)
+	case <-time.After(100 * time.Millisecond): // longer than a look at the connection takes
+		close(hold)
+	}
+	if a := <-answered; a.code != http.StatusOK || a.body != "mine" {
+		t.Errorf("answered %d %q; want 200 and the server's answer", a.code, a.body)
+	}
+	if n := s.requests.Load(); n != 1 {
+		t.Errorf("%d attempts, want 1", n)
+	}
+}
+
+// Guards rule 1 where a client ends its sending and still reads: it counts as gone, and is
+// told nothing, least of all a 200 that no server made.
+func TestClientThatEndsItsSendingIsToldNothing(t *testing.T) {
+	hold := make(chan struct{})
+	defer close(hold)
+	s := newServer(t, func(int64, *http.Request, net.Conn) bool { <-hold; return false })
+	addr, _ := startNode(t, newRegistry(t, listed(s, "s1")))
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	io.WriteString(c, written(t, "book"))
+	c.(*net.TCPConn).CloseWrite()
+	c.SetReadDeadline(time.Now().Add(patience))
+	if b, err := io.ReadAll(c); len(b) > 0 || errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("told %q, %v; want a close", b, err)
+	}
+}
+
 // Guards the memory limit: bodies are bounded together, by their declared lengths
 // and before any of it is read.
 func TestLargeBodiesHaveABudget(t *testing.T) {
--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -123,6 +123,7 @@
 		write(w, a)
 	case <-r.Context().Done(): // the client went away
 		f.loop.post(func() { f.loop.left(taken) })
+		panic(http.ErrAbortHandler) // else net/http words an answer: 200 with no body
 	case <-f.loop.stopped:
 		http.Error(w, "shutting down", http.StatusBadGateway)
 	}
