Refuse a keyed request only while its window lasts until the client's return

Cause, found by reading what is worded as a refusal while an attempt may have run: mayRefuse held that promise for a keyed class of scope all at any time, also past the window in which its repeats are dropped, and for a client told to come back after it. Such a request is failed now. Duplicate ids (409), a full front, the drain and the backstop (502, 504) were checked: none refuses what was sent on.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -259,11 +259,12 @@
 	return b.coldBudget(s, now, b.loneLatency(r))
 }
 
-// mayRefuse tells whether the promise of a refusal holds.
-func (r *request) mayRefuse() bool {
+// mayRefuse tells whether the promise of a refusal holds for a client that comes back then.
+func (r *request) mayRefuse(back time.Duration) bool {
 	for i := range r.attempts {
 		if !r.attempts[i].neverRan {
-			return r.class.Effect == Safe || (r.class.Effect == Keyed && r.class.Scope == ScopeAll)
+			return r.class.Effect == Safe ||
+				r.class.Effect == Keyed && r.class.Scope == ScopeAll && back < r.windowEnd()
 		}
 	}
 	return true
@@ -476,8 +477,8 @@
 
 // giveUp answers a request that is not served: refused where that promise holds, else failed.
 func (b *Balancer) giveUp(now time.Duration, r *request) {
-	if r.mayRefuse() {
-		b.host.Refuse(r.ID, b.retryAfter(now, r))
+	if wait := b.retryAfter(now, r); r.mayRefuse(now + wait) {
+		b.host.Refuse(r.ID, wait)
 	} else {
 		b.host.Fail(r.ID)
 	}
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -353,6 +353,23 @@
 	}
 }
 
+// Guards the promise of a refusal: a client that comes back when it was told to must still be
+// within the window in which its repeat is dropped.
+func TestKeyedRefusalEndsWithItsWindow(t *testing.T) {
+	for window, want := range map[time.Duration]bool{time.Second: true, 600 * ms: false} {
+		set := testSettings()
+		set.Classes[1].Scope, set.Classes[1].Window = ScopeAll, window
+		set.Limits.MaxAttempts = 1
+		r := newRig(t, set, 9)
+		id := r.request(1)
+		r.pass(300 * ms)
+		r.end(id, Reset, 300*ms)
+		if wait, refused := r.h.refused[id]; refused != want || refused == r.h.failed[id] {
+			t.Errorf("window %v: refused %v after %v with a wait of %v, want %v", window, refused, 300*ms, wait, want)
+		}
+	}
+}
+
 // Guards the window where a connection comes up late: what goes out again carries the window's
 // end, counted from the first attempt that may have run, and no other does.
 func TestRepeatCarriesTheEndOfItsWindow(t *testing.T) {
