Miss a client that sent on behind its open request and went

Checked what ends at a client's close: a request that is held, in its backoff, at a connection that comes up late or in work ends at once (tests were there). Wrong: net/http watches an open request's connection with a read of one byte and looks no further once it has come, so a client that sent on and went was served up to its deadline, retries included.

Now client.Read keeps what comes behind an open request, up to 4 KiB, and waits on for the close; beyond that the rest is dropped and the connection ends behind its answer.

--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -4,10 +4,12 @@
 	"container/list"
 	"context"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/net/netutil"
@@ -50,8 +52,14 @@
 	place   *list.Element
 	since   time.Time // when it went there
 	leaving bool      // evicted, unless data comes first
+
+	// What came behind an open request. Only Read touches it, which net/http calls one at a time.
+	ahead   []byte
+	spilled atomic.Bool // there was too much of it: the rest is lost, and the connection with it
 }
 
+const maxAhead = 4 << 10
+
 func newClients(descriptors int) *clients {
 	spare := descriptors / 8
 	return &clients{most: descriptors - spare, spare: spare, conns: map[*client]struct{}{}}
@@ -75,12 +83,44 @@
 	return &client{Conn: conn, group: l.group}, nil
 }
 
+// clientKey is where a request's context holds its connection.
+type clientKey struct{}
+
+// context is http.Server's ConnContext.
+func (g *clients) context(ctx context.Context, conn net.Conn) context.Context {
+	return context.WithValue(ctx, clientKey{}, conn)
+}
+
+// sentTooMuch tells that a request's connection can't be read any further.
+func sentTooMuch(r *http.Request) bool {
+	c, ok := r.Context().Value(clientKey{}).(*client)
+	return ok && c.spilled.Load()
+}
+
 var longAgo = time.Unix(1, 0)
 
 // Read looks once more when the wait for a request is over, be it by eviction or by
 // net/http's time limit for idle connections: a node that gets little CPU may have
 // been stopped between that limit and here for long enough.
+//
+// While a request is open, net/http waits for its client's close in a read of one byte, and
+// looks no further once one has come. A client that sends on before it is answered and then
+// goes would not be missed, so that what comes is kept here and the wait goes on.
 func (c *client) Read(b []byte) (int, error) {
+	if len(b) == 1 && !c.waits() {
+		return 0, c.watch()
+	}
+	if len(c.ahead) > 0 {
+		n := copy(b, c.ahead)
+		if c.ahead = c.ahead[n:]; len(c.ahead) == 0 {
+			c.ahead = nil
+		}
+		c.stay()
+		return n, nil
+	}
+	if c.spilled.Load() {
+		return 0, io.EOF
+	}
 	n, err := c.Conn.Read(b)
 	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.waits() {
 		c.Conn.SetReadDeadline(time.Now().Add(time.Millisecond))
@@ -92,6 +132,23 @@
 	return n, err
 }
 
+// watch reads until the client closes or net/http ends the wait.
+func (c *client) watch() error {
+	var b [512]byte
+	for {
+		n, err := c.Conn.Read(b[:])
+		if len(c.ahead)+n > maxAhead {
+			c.spilled.Store(true)
+		}
+		if !c.spilled.Load() {
+			c.ahead = append(c.ahead, b[:n]...)
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
 // SetReadDeadline is net/http's; it does not undo an eviction.
 func (c *client) SetReadDeadline(at time.Time) error {
 	c.group.mu.Lock()
--- a/internal/node/clients_test.go
+++ b/internal/node/clients_test.go
@@ -273,17 +273,10 @@
 	}
 }
 
-// Guards rules 1 and 2 where a connection is told to go between its request's last byte and
-// net/http's word that a request is open: the client was answered 200 with no body while a
-// server worked on what it had asked for.
-func TestRequestThatCrossesAnEvictionIsAnswered(t *testing.T) {
-	came, hold := make(chan struct{}), make(chan struct{})
-	s := newServer(t, func(_ int64, _ *http.Request, c net.Conn) bool {
-		close(came)
-		<-hold
-		io.WriteString(c, ok("mine"))
-		return true
-	})
+// startFront runs a front with one server behind it, and hands what net/http says of
+// connections to state.
+func startFront(t *testing.T, s *server, state func(*clients, net.Conn, http.ConnState)) (l *loop, addr string) {
+	t.Helper()
 	site := siteOf(t, settings)
 	l, err := newLoop(site.Settings, 1, newClock(), newUpstream(time.Hour, patience, 8), func() {})
 	if err != nil {
@@ -296,27 +289,131 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	left := make(chan struct{})
 	server := http.Server{
 		Handler:     newFront(l, site, g, 1<<20, func() bool { return true }),
-		ReadTimeout: patience,
-		ConnState: func(c net.Conn, state http.ConnState) {
-			if state == http.StateActive { // the whole request was read
-				g.leave()
-				close(left)
-			}
-			g.state(c, state)
-		},
+		ReadTimeout: patience, ConnContext: g.context,
+		ConnState: func(c net.Conn, s http.ConnState) { state(g, c, s) },
 	}
 	go server.Serve(g.listener(listener))
-	defer server.Close()
+	t.Cleanup(func() { server.Close() })
+	return l, listener.Addr().String()
+}
+
+// Guards the term that nothing begins 0.1 s after its client went, for a client that had sent
+// on behind its request: net/http looks no further than the first byte of that.
+func TestClientThatSentOnAndWentIsMissed(t *testing.T) {
+	more := written(t, "book") + written(t, "read")
+	for name, behind := range map[string]string{
+		"a byte": "\n", "whole requests": more, "more than is kept": strings.Repeat(more, 200),
+	} {
+		t.Run(name, func(t *testing.T) {
+			came, hold := make(chan struct{}, 8), make(chan struct{})
+			s := newServer(t, func(int64, *http.Request, net.Conn) bool { came <- struct{}{}; <-hold; return false })
+			l, addr := startFront(t, s, (*clients).state)
+			c, err := net.Dial("tcp", addr)
+			if err != nil {
+				t.Fatal(err)
+			}
+			io.WriteString(c, written(t, "read"))
+			<-came
+			io.WriteString(c, behind)
+			began := time.Now()
+			c.Close()
+			open := make(chan int)
+			waitFor(t, "end of the request", func() bool { l.post(func() { open <- len(l.requests) }); return <-open == 0 })
+			close(hold) // a safe request would be sent again now
+			if time.Since(began) > 2*time.Second {
+				t.Error("it ended with its time, not with its client")
+			}
+			if n := s.requests.Load(); n != 1 {
+				t.Errorf("%d attempts, want 1", n)
+			}
+		})
+	}
+}
+
+// What a client sends behind an open request is read once that is answered, up to a limit.
+func TestWhatComesBehindARequestWaitsForItsAnswer(t *testing.T) {
+	came, hold := make(chan struct{}, 8), make(chan struct{})
+	s := newServer(t, func(n int64, _ *http.Request, c net.Conn) bool {
+		came <- struct{}{}
+		if n == 1 {
+			<-hold
+		}
+		io.WriteString(c, ok(fmt.Sprint(n)))
+		return true
+	})
+	conns := make(chan *client, 1)
+	_, addr := startFront(t, s, func(g *clients, c net.Conn, state http.ConnState) {
+		if g.state(c, state); state == http.StateNew {
+			conns <- c.(*client)
+		}
+	})
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(patience))
+	in := bufio.NewReader(c)
+	answer := func(want string, closes bool) {
+		t.Helper()
+		resp, err := http.ReadResponse(in, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		body, err := io.ReadAll(resp.Body)
+		if err != nil || string(body) != want || resp.Close != closes {
+			t.Errorf("answered %q, %v, closes %v; want %q, closes %v", body, err, resp.Close, want, closes)
+		}
+	}
+	io.WriteString(c, written(t, "read"))
+	<-came
+	io.WriteString(c, written(t, "book"))
+	close(hold)
+	answer("1", false)
+	answer("2", false)
+	hold = make(chan struct{})
+	s.requests.Store(0)
+	<-came
+	io.WriteString(c, written(t, "read"))
+	<-came
+	go io.WriteString(c, strings.Repeat(written(t, "read"), 2*maxAhead/100))
+	ours := <-conns
+	waitFor(t, "more than is kept", ours.spilled.Load)
+	close(hold)
+	answer("1", true)
+	if n := s.requests.Load(); n != 1 {
+		t.Errorf("%d attempts, want 1", n)
+	}
+}
+
+// Guards rules 1 and 2 where a connection is told to go between its request's last byte and
+// net/http's word that a request is open: the client was answered 200 with no body while a
+// server worked on what it had asked for.
+func TestRequestThatCrossesAnEvictionIsAnswered(t *testing.T) {
+	came, hold := make(chan struct{}), make(chan struct{})
+	s := newServer(t, func(_ int64, _ *http.Request, c net.Conn) bool {
+		close(came)
+		<-hold
+		io.WriteString(c, ok("mine"))
+		return true
+	})
+	left := make(chan struct{})
+	_, addr := startFront(t, s, func(g *clients, c net.Conn, state http.ConnState) {
+		if state == http.StateActive { // the whole request was read
+			g.leave()
+			close(left)
+		}
+		g.state(c, state)
+	})
 	type said struct {
 		code int
 		body string
 	}
 	answered := make(chan said, 1)
 	go func() {
-		code, _, body := do(t, clientRequest(t, listener.Addr().String(), "read", "2.9"))
+		code, _, body := do(t, clientRequest(t, addr, "read", "2.9"))
 		answered <- said{code, body}
 	}()
 	<-left
--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -77,7 +77,7 @@
 	came := f.loop.clock.now()
 	full := f.clients.full()
 	if r.URL.Path == "/up" {
-		f.close(w)
+		f.close(w, r)
 		if !f.ready() {
 			http.Error(w, "not ready", http.StatusServiceUnavailable)
 		}
@@ -119,7 +119,7 @@
 			f.turnDown(w, &clientError{http.StatusConflict, "X-Correlation-Id: in use"})
 			return
 		}
-		f.close(w)
+		f.close(w, r)
 		write(w, a)
 	case <-r.Context().Done(): // the client went away
 		f.loop.post(func() { f.loop.left(taken) })
@@ -130,10 +130,11 @@
 }
 
 // close ends the connection behind the answer while the node drains or few
-// descriptors are left: nothing can cross such a close. It is asked when the answer
-// is there, as much may have changed since the request came.
-func (f *front) close(w http.ResponseWriter) {
-	if f.draining.Load() || f.clients.crowded() {
+// descriptors are left: nothing can cross such a close. So does it where the client sent
+// more than is kept behind its request. It is asked when the answer is there, as much may
+// have changed since the request came.
+func (f *front) close(w http.ResponseWriter, r *http.Request) {
+	if f.draining.Load() || f.clients.crowded() || sentTooMuch(r) {
 		w.Header().Set("Connection", "close")
 	}
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -126,8 +126,8 @@
 	server := http.Server{
 		Handler: f, ReadHeaderTimeout: readTimeout, ReadTimeout: readTimeout,
 		WriteTimeout: writeLimit(set.Classes), IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
-		ConnState: clients.state,
-		ErrorLog:  slog.NewLogLogger(log.Handler(), slog.LevelDebug),
+		ConnState: clients.state, ConnContext: clients.context,
+		ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelDebug),
 	}
 	ended := make(chan error, 1)
 	go func() { ended <- server.Serve(clients.listener(listener)) }()
