Keep thin nodes of small fleets to their part of a cold server's budget

New term: cold servers fall under the sum of what all nodes send, and only 2 root N + 2 over the budget N is chance, at 20 to 30 nodes as at 300.

Cause: coldBudget gave every thin node twice its part, since a node of hundreds may not send even one request in the time that counts and leaves most of its part unused. Nodes of a fleet of 20 to 30 send several in that time and use all of it: wrong for them. Ruled out: unused budget saved up to six requests (a depth of two, and a burst after a quiet time, change nothing), hundreds of nodes (at most 0.5 of the room for chance).

Now the doubling fades with the requests that a node's part holds.

--- /dev/null
+++ b/policy/cold_test.go
@@ -0,0 +1,109 @@
+package policy
+
+import (
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+// coldFleet plays a fleet of nodes on one clock, each asked for its part of load times what the
+// warm servers can do, while some servers come back cold. All answers are alike, so that nothing
+// but the budget holds back. It gives by how many times the room for chance the most loaded cold
+// server was sent more than its budget, and all sends to cold servers as a share of the budgets.
+func coldFleet(t *testing.T, nodes, servers, cold int, load float64, plays time.Duration, seed uint64) (worst, used float64) {
+	t.Helper()
+	const (
+		each   = 20.0 // requests a second that a warm server bears
+		step   = 10 * ms
+		took   = 100 * ms
+		settle = 3 * time.Second
+	)
+	set := testSettings()
+	set.Nodes = nodes
+	rules := &set.Rules
+	rules.ColdFrom, rules.ColdFor, rules.FallMultiple, rules.FallFor = 0.12, 24*time.Second, 2.5, 2*time.Second
+	budget := func(age time.Duration) float64 { // requests in FallFor
+		share := rules.ColdFrom + (1-rules.ColdFrom)*age.Seconds()/rules.ColdFor.Seconds()
+		return rules.FallMultiple * share * each * rules.FallFor.Seconds()
+	}
+	type out struct {
+		at time.Duration
+		id RequestID
+	}
+	rng := rand.New(rand.NewPCG(seed, 1))
+	start := time.Hour
+	fleet, seen, pending := make([]*rig, nodes), make([]int, nodes), make([][]out, nodes)
+	for i := range fleet {
+		h := newHost()
+		b, err := New(set, seed<<32+uint64(i), h)
+		if err != nil {
+			t.Fatal(err)
+		}
+		fleet[i] = &rig{t: t, b: b, h: h, now: start - settle, done: map[RequestID]int{}}
+		fleet[i].list(ListCached, ready(1, servers)...)
+	}
+	back := ready(1, cold)
+	for i := range back {
+		back[i].Started = start
+	}
+	got := make([][]time.Duration, cold+1)
+	for now := start - settle; now < start+plays; now += step {
+		rate := load * each * float64(servers-cold) / float64(nodes)
+		for i, r := range fleet {
+			r.pass(now - r.now)
+			if now == start {
+				r.list(ListDelta, back...)
+			}
+			for len(pending[i]) > 0 && pending[i][0].at <= now {
+				r.end(pending[i][0].id, OK, took)
+				pending[i] = pending[i][1:]
+			}
+			if rng.Float64() < rate*step.Seconds() {
+				r.request(0)
+			}
+			for _, s := range r.h.sends[seen[i]:] {
+				pending[i] = append(pending[i], out{now + took, s.id})
+				if int(s.server) <= cold && now >= start {
+					got[s.server] = append(got[s.server], now-start)
+				}
+			}
+			seen[i] = len(r.h.sends)
+		}
+	}
+	sent, borne := 0, 0.0
+	for _, times := range got[1:] {
+		first := 0
+		for i, at := range times {
+			for at-times[first] > rules.FallFor {
+				first++
+			}
+			n := budget(times[first])
+			worst = max(worst, (float64(i-first+1)-n)/(2*math.Sqrt(n)+2))
+		}
+		sent += len(times)
+		borne += budget(plays/2) * plays.Seconds() / rules.FallFor.Seconds()
+	}
+	return worst, float64(sent) / borne
+}
+
+// Guards cold servers against the sum of what all nodes send, in fleets of any size: a node that
+// may send several requests in the time that counts needs no more than its part, while one of
+// hundreds, which may send none most of the time, would leave most of its part unused.
+func TestColdServersBearWhatAllNodesSend(t *testing.T) {
+	for _, c := range []struct {
+		nodes, servers, cold int
+		plays                time.Duration
+	}{
+		{24, 12, 4, 12 * time.Second}, {30, 20, 8, 12 * time.Second}, {24, 40, 10, 12 * time.Second},
+		{300, 160, 20, 5 * time.Second},
+	} {
+		for seed := range uint64(max(1, 48/c.nodes)) {
+			worst, used := coldFleet(t, c.nodes, c.servers, c.cold, 1.5, c.plays, seed+1)
+			if worst > 1 || used < 0.1 {
+				t.Errorf("%d nodes, %d of %d servers cold, seed %d: one was sent %.2f times the room for chance "+
+					"over its budget, all of them %.2f of their budgets", c.nodes, c.cold, c.servers, seed+1, worst, used)
+			}
+		}
+	}
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -135,8 +135,8 @@
 		return true
 	}
 	part := b.demand.perSecond(now) / float64(len(b.ready))
-	if b.thin() { // twice, as whole requests run it dry by chance; the draw by cold share keeps the mean
-		part = 2 * b.demand.perSecond(now) * b.admitted / max(b.shares, share, 1e-9)
+	if b.thin() {
+		part = b.demand.perSecond(now) * b.admitted / max(b.shares, share, 1e-9)
 	} else if b.warm > 0 {
 		part = min(part, b.warmRate/float64(b.warm))
 	}
@@ -147,6 +147,10 @@
 		s.coldAt, s.coldSaved = now, s.rounding*work
 	}
 	rate := part * b.set.Rules.FallMultiple * share * coldSafety
+	if b.thin() { // up to twice where whole requests seldom fit in; the draw by cold share keeps the mean
+		sends := 2.5 * rate * b.set.Rules.FallFor.Seconds() / work
+		rate *= 1 + 1/(1+sends*sends)
+	}
 	most := max(6*work, rate*b.set.Rules.FallFor.Seconds())
 	s.coldSaved = min(s.coldSaved+rate*(now-s.coldAt).Seconds(), most)
 	s.coldAt = now
