Draw servers at random for the further attempts of thin nodes too

Cause: pick takes the best of all closed servers for a further attempt. A node of hundreds has seen so little of each that most are equals, and the best of equals is the first of them in the list, the same for every node.

Now a thin node takes the better of two drawn by weight, as for first sends. The test has 100 nodes with one failed attempt each: 89 of 100 further ones went to one of 20 servers before.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -339,7 +339,8 @@
 // pick chooses a server for the next attempt, or nil: a half-open server that awaits its
 // trial, else the better of two random closed servers for a first send and the best other
 // closed server for a further one. A thin node draws by weight: it has too little in flight
-// to see small servers crowd. Where servers keep keys warm, the one that served the key last
+// to see small servers crowd. It draws for further sends too: most servers look alike to it,
+// and the best of equals is the same one for all nodes. Where servers keep keys warm, the one that served the key last
 // is one of the two.
 func (b *Balancer) pick(now time.Duration, r *request) *server {
 	b.refresh(now)
@@ -363,7 +364,7 @@
 	if n == 0 || !b.thin() && out >= max(1, int(b.limit*float64(servers))) {
 		return nil
 	}
-	if len(r.attempts) == 0 && n > 2 {
+	if (len(r.attempts) == 0 || b.thin()) && n > 2 {
 		i := b.rng.IntN(n)
 		j := (i + 1 + b.rng.IntN(n-1)) % n
 		if b.thin() {
--- a/policy/thin_test.go
+++ b/policy/thin_test.go
@@ -13,6 +13,40 @@
 	return newRig(t, set, 10)
 }
 
+// Guards servers against the further attempts of a whole fleet: where none is known to be
+// better, the best one was the first in the list, for every node. Seen on zone+mass: three in
+// four of them went to 10 of 179 servers.
+func TestFurtherAttemptsOfAFleetSpread(t *testing.T) {
+	const nodes, servers = 100, 20
+	count := map[ServerID]int{}
+	for seed := range uint64(nodes) {
+		set := testSettings()
+		set.Nodes, set.Limits.SecondCopies = nodes, false
+		h := newHost()
+		b, err := New(set, seed, h)
+		if err != nil {
+			t.Fatal(err)
+		}
+		r := &rig{t: t, b: b, h: h, now: time.Hour, done: map[RequestID]int{}}
+		r.list(ListCached, ready(1, servers)...)
+		r.serve(20, 0, 20*ms)
+		id := r.request(0)
+		r.end(id, Error, 20*ms)
+		r.pass(300 * ms)
+		if sends := r.sendsOf(id); len(sends) == 2 {
+			count[sends[1]]++
+		}
+	}
+	total, most := 0, 0
+	for _, n := range count {
+		total += n
+		most = max(most, n)
+	}
+	if total < nodes/2 || most > 4*total/servers {
+		t.Errorf("%d further attempts, %d of them to one of %d servers", total, most, servers)
+	}
+}
+
 // Guards against a node that holds its requests back because one of them is stuck: the
 // fair bound in flight of a thin node is below one request.
 func TestStuckAttemptDoesNotBlockAThinNode(t *testing.T) {
