--- a/policy/fleet_test.go
+++ b/policy/fleet_test.go
@@ -132,6 +132,29 @@
 	}
 }
 
+// Guards the time that restarted nodes take to be ready: one that knows no server has to hear
+// the list first, so its call must not wait for as long as the settings let others wait.
+func TestNodesWithNoListAskForItSoon(t *testing.T) {
+	set := testSettings()
+	set.Nodes, set.ListAsked, set.Rules.MustAsk = 350, true, time.Minute
+	late := 0
+	for seed := range uint64(set.Nodes) {
+		h := newHost()
+		b, err := New(set, seed, h)
+		if err != nil {
+			t.Fatal(err)
+		}
+		r := &rig{t: t, b: b, h: h, now: time.Hour}
+		r.list(ListCached)
+		if r.pass(10*time.Second - 2*time.Second); h.watches == 0 { // the call may take 2 s
+			late++
+		}
+	}
+	if late > set.Nodes/10 {
+		t.Errorf("%d of %d restarted nodes are not ready within 10 s", late, set.Nodes)
+	}
+}
+
 // Few nodes have no reason to wait.
 func TestSmallFleetGetsTheListAtOnce(t *testing.T) {
 	if took, _ := watchers(t, 3, &registry{callFor: 95 * ms, waitFor: time.Second}, time.Second); took > 700*ms {
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -82,6 +82,9 @@
 	}
 	b.watching, b.watchSpan, b.failedCalls = kind != ListCached, b.firstSpan(), 0
 	if kind == ListCached && b.set.ListAsked {
+		if len(entries) == 0 { // this node is of no use before its first call
+			b.watchSpan = min(b.watchSpan, failedMost)
+		}
 		b.watchLater(now)
 	}
 	b.list(kind, entries)
