Test that idle clients leave descriptors for discovery and servers

The test runs the program under a real limit of 64, has 193 clients rest on it while discovery is down and no server is known, and wants the list heard and a request served at its return. It fails where clients may take all descriptors.

--- /dev/null
+++ b/cmd/otterstep/descriptors_test.go
@@ -0,0 +1,143 @@
+package main
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"strings"
+	"testing"
+	"time"
+)
+
+// Guards the descriptors that discovery and servers need: idle clients may hold all there are
+// for clients while discovery is down, and the node follows it and serves at its return. The
+// program runs under the limit that its configuration names.
+func TestIdleClientsLeaveDescriptorsForDiscovery(t *testing.T) {
+	const sockets = 64
+	backend := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		io.WriteString(w, r.Header.Get("X-Correlation-Id"))
+	}))
+	defer backend.Close()
+	free := func() string {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer l.Close()
+		return l.Addr().String()
+	}
+	addr, registry := free(), free() // nobody listens there so far
+	cmd := program(configFile(t, func(c map[string]any) {
+		c["listen"], c["discovery"] = addr, registry
+		c["limits"] = map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": sockets}
+	}))
+	limited := exec.Command("sh", "-c", fmt.Sprintf(`ulimit -n %d && exec "$0"`, sockets), os.Args[0])
+	limited.Env = cmd.Env
+	var stderr bytes.Buffer
+	limited.Stderr = &stderr
+	if err := limited.Start(); err != nil {
+		t.Fatal(err)
+	}
+	stop := func() { limited.Process.Kill(); limited.Wait() }
+	defer stop()
+
+	ask := func(c net.Conn) (code int, err error) {
+		if _, err := fmt.Fprintf(c, "POST /book/x HTTP/1.1\r\nHost: api\r\nX-Correlation-Id: %s\r\nX-Service-Class: book\r\n"+
+			"X-Time-Left: 1.0\r\nContent-Length: 1\r\n\r\nb", c.LocalAddr()); err != nil {
+			return 0, err
+		}
+		c.SetReadDeadline(time.Now().Add(20 * time.Second))
+		var b [12]byte
+		if _, err := io.ReadFull(c, b[:]); err != nil {
+			return 0, err
+		}
+		_, err = fmt.Sscanf(string(b[:]), "HTTP/1.1 %d", &code)
+		return code, err
+	}
+	patient := func(what string, is func() bool) {
+		t.Helper()
+		for end := time.Now().Add(20 * time.Second); !is(); time.Sleep(5 * time.Millisecond) {
+			if time.Now().After(end) {
+				stop()
+				t.Fatalf("no %s: %s", what, &stderr)
+			}
+		}
+	}
+	patient("node that is up", func() bool {
+		resp, err := http.Get("http://" + addr + "/up")
+		if err != nil {
+			return false
+		}
+		resp.Body.Close()
+		return resp.StatusCode == http.StatusOK
+	})
+	// Some have asked before they rest, the others never say a word.
+	for i := range 3 * sockets {
+		c, err := net.Dial("tcp", addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		if i%8 == 0 {
+			if code, err := ask(c); err != nil || code != http.StatusServiceUnavailable {
+				t.Fatalf("client %d: answered %d, %v with no server known; want 503", i, code, err)
+			}
+		}
+	}
+
+	// The last client's answer shows that all were taken in turn as far as they will be.
+	last, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer last.Close()
+	if code, err := ask(last); err != nil || code != http.StatusServiceUnavailable {
+		t.Fatalf("the last client: answered %d, %v; want 503", code, err)
+	}
+	open, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", limited.Process.Pid))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(open) > sockets*2/3 {
+		t.Errorf("%d of %d descriptors are open while discovery is down and no server is known", len(open), sockets)
+	}
+
+	l, err := net.Listen("tcp", registry)
+	if err != nil {
+		t.Fatal(err)
+	}
+	discovery := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Query().Has("since") {
+			select {
+			case <-r.Context().Done():
+			case <-time.After(time.Second):
+			}
+			io.WriteString(w, `{"rev":1,"all":false,"targets":[]}`)
+			return
+		}
+		fmt.Fprintf(w, `{"rev":1,"all":true,"targets":[{"uid":"s1","endpoint":%q,"state":"in_service","capacity_hint":1}]}`,
+			backend.Listener.Addr())
+	}))
+	discovery.Listener.Close()
+	discovery.Listener = l
+	discovery.Start()
+	defer discovery.Close()
+	patient("answer of a server", func() bool {
+		c, err := net.Dial("tcp", addr)
+		if err != nil {
+			return false
+		}
+		defer c.Close()
+		code, err := ask(c)
+		return err == nil && code == http.StatusOK
+	})
+	stop()
+	if strings.Contains(stderr.String(), "too many open files") {
+		t.Errorf("the descriptors ran out: %s", &stderr)
+	}
+}
