Review case 1: a late second answer is served to another client

Clients are served answers that billing servers made for other requests, when a billing server sends an answer a second time 12 ms late over a way of 5 ms.

--- /dev/null
+++ b/review/kit/deployment.go
@@ -0,0 +1,160 @@
+package kit
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+)
+
+// Deployment is a small deployment: nodes of the program, billing servers in two data centres and discovery.
+type Deployment struct {
+	Record    *Record
+	Discovery *Discovery
+	Servers   []*Server
+	Nodes     []*Node
+	Clients   []*Client // one for each node
+
+	dir   string
+	links []*Link
+}
+
+// Options describe a deployment.
+type Options struct {
+	Root, Run    string
+	Record       *Record
+	Nodes        int
+	Servers      int
+	CrossDelay   time.Duration // one way between a node and each billing server; 0: none
+	MemoryMB     int
+	Sockets      int
+	LogLevel     string
+	Change       func(settings map[string]any)
+	AnswerServer func(c *ServerConn, r *ServerRequest) (goOn bool)
+}
+
+// Start starts a deployment and waits until all nodes are ready.
+func Start(o Options) (*Deployment, error) {
+	dir, err := os.MkdirTemp("", "review-")
+	if err != nil {
+		return nil, err
+	}
+	d := &Deployment{Record: o.Record, dir: dir}
+	var entries []Entry
+	for i := range o.Servers {
+		s, err := NewServer(fmt.Sprintf("s-%02d", i), o.Record, o.AnswerServer)
+		if err != nil {
+			return d, err
+		}
+		d.Servers = append(d.Servers, s)
+		addr := s.Addr()
+		if o.CrossDelay > 0 {
+			link, err := NewLink(addr, o.CrossDelay)
+			if err != nil {
+				return d, err
+			}
+			d.links = append(d.links, link)
+			addr = link.Addr()
+		}
+		entries = append(entries, Entry{UID: s.UID, Endpoint: addr, AZ: Zones[i%len(Zones)], Model: "fast-2c", PodGroup: i / 5,
+			State: "in_service", CapacityHint: 1})
+	}
+	if d.Discovery, err = NewDiscovery(entries); err != nil {
+		return d, err
+	}
+	for i := range o.Nodes {
+		settings := Settings(i, o.Nodes)
+		if o.Change != nil {
+			o.Change(settings)
+		}
+		n, err := StartNode(NodeOptions{Root: o.Root, Run: o.Run, Dir: dir, Index: i, Discovery: d.Discovery.Addr(),
+			Known: d.Discovery.Known(), Settings: settings, MemoryMB: o.MemoryMB, Sockets: o.Sockets, LogLevel: o.LogLevel})
+		if err != nil {
+			return d, err
+		}
+		d.Nodes = append(d.Nodes, n)
+		d.Clients = append(d.Clients, NewClient(n.Addr))
+	}
+	return d, nil
+}
+
+// Stop ends all processes and stand-ins and removes the temporary folder. It copies the nodes' logs into the record.
+func (d *Deployment) Stop() {
+	for _, c := range d.Clients {
+		c.Close()
+	}
+	for _, n := range d.Nodes {
+		n.Stop()
+		d.Record.Line("%s ended: %v", n.Name, n.err)
+		if text, err := os.ReadFile(n.LogPath); err == nil {
+			d.Record.Line("log of %s:\n%.20000s", n.Name, text)
+		}
+	}
+	if d.Discovery != nil {
+		d.Discovery.Close()
+	}
+	for _, l := range d.links {
+		l.Close()
+	}
+	for _, s := range d.Servers {
+		s.Close()
+	}
+	os.RemoveAll(d.dir)
+}
+
+// Args returns the root of the repository, the command run of its deploy file, the path of the record and whether the
+// disruption takes place, as run.sh passes them on.
+func Args() (root, run, record string, trouble bool) {
+	if len(os.Args) != 4 {
+		fmt.Fprintln(os.Stderr, "usage: ROOT RUN RECORD")
+		os.Exit(2)
+	}
+	return os.Args[1], os.Args[2], filepath.Clean(os.Args[3]), os.Getenv("TROUBLE") != "0"
+}
+
+// Exit codes of a case.
+const (
+	Held      = 0
+	Broken    = 1
+	CouldNot  = 2
+	sendLimit = 500 * time.Millisecond // an answer up to half a second after a request's time is late and not lost
+)
+
+// PickClass draws a class with the shares of billing-casa.
+func PickClass(rng *rand.Rand) Class {
+	switch x := rng.Float64(); {
+	case x < 0.43:
+		return BillingClasses[0]
+	case x < 0.83:
+		return BillingClasses[1]
+	}
+	return BillingClasses[2]
+}
+
+// Load sends requests at a mean rate to all nodes together, for a time, and passes on each result.
+func (d *Deployment) Load(seed uint64, perSecond float64, length time.Duration, pick func(*rand.Rand) Class,
+	onResult func(id string, class Class, result Result)) {
+	rng := rand.New(rand.NewPCG(seed, 0))
+	var wait sync.WaitGroup
+	defer wait.Wait()
+	next := time.Now()
+	for end, i := next.Add(length), 0; next.Before(end); i++ {
+		next = next.Add(time.Duration(rng.ExpFloat64() / perSecond * float64(time.Second)))
+		time.Sleep(time.Until(next))
+		class, client := pick(rng), d.Clients[i%len(d.Clients)]
+		id, key := fmt.Sprintf("%016x", rng.Uint64()), fmt.Sprintf("%016x%016x", rng.Uint64(), rng.Uint64())
+		wait.Go(func() {
+			d.Record.Line("sent %s %s to %s", id, class.Name, client.addr)
+			limit := time.Duration(class.DeadlineMs)*time.Millisecond + sendLimit
+			result := client.Send(id, class, key, []byte("amount=140.40&currency=MAD&account=C-"+id), limit)
+			if result.Err != nil {
+				d.Record.Line("answered %s nothing: %v", id, result.Err)
+			} else {
+				d.Record.Line("answered %s %d %q", id, result.Code, result.Body)
+			}
+			onResult(id, class, result)
+		})
+	}
+}
