--- a/review/kit/client.go
+++ b/review/kit/client.go
@@ -40,7 +40,7 @@
 func (c *Client) Send(id string, class Class, key string, body []byte, limit time.Duration) Result {
 	start := time.Now()
 	for try := 0; ; try++ {
-		conn, isKept, err := c.take()
+		conn, isKept, err := c.take(try == 0)
 		if err != nil {
 			return Result{Err: err, Took: time.Since(start)}
 		}
@@ -73,9 +73,9 @@
 	return append(fmt.Appendf(text, "Content-Length: %d\r\n\r\n", len(body)), body...)
 }
 
-func (c *Client) take() (conn *clientConn, isKept bool, err error) {
+func (c *Client) take(mayBeKept bool) (conn *clientConn, isKept bool, err error) {
 	c.mu.Lock()
-	if n := len(c.idle); n > 0 {
+	if n := len(c.idle); n > 0 && mayBeKept {
 		conn = c.idle[n-1]
 		c.idle = c.idle[:n-1]
 		c.mu.Unlock()
