--- a/review/kit/deployment.go
+++ b/review/kit/deployment.go
@@ -136,12 +136,6 @@
 // Load sends requests at a mean rate to all nodes together, for a time, and passes on each result.
 func (d *Deployment) Load(seed uint64, perSecond float64, length time.Duration, pick func(*rand.Rand) Class,
 	onResult func(id string, class Class, result Result)) {
-	d.LoadNodes(seed, perSecond, length, pick, func(_ int, id string, class Class, result Result) { onResult(id, class, result) })
-}
-
-// LoadNodes is Load, and passes on the number of the node too.
-func (d *Deployment) LoadNodes(seed uint64, perSecond float64, length time.Duration, pick func(*rand.Rand) Class,
-	onResult func(node int, id string, class Class, result Result)) {
 	rng := rand.New(rand.NewPCG(seed, 0))
 	var wait sync.WaitGroup
 	defer wait.Wait()
@@ -160,7 +154,7 @@
 			} else {
 				d.Record.Line("answered %s %d %q", id, result.Code, result.Body)
 			}
-			onResult(i%len(d.Clients), id, class, result)
+			onResult(id, class, result)
 		})
 	}
 }
--- a/review/kit/node.go
+++ b/review/kit/node.go
@@ -9,7 +9,6 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"strings"
 	"syscall"
 	"time"
 )
@@ -173,9 +172,6 @@
 // Signal sends a signal to the process.
 func (n *Node) Signal(s os.Signal) { n.cmd.Process.Signal(s) }
 
-// PID returns the id of the process.
-func (n *Node) PID() int { return n.cmd.Process.Pid }
-
 // Stop ends the process: SIGTERM, and SIGKILL after 5 s.
 func (n *Node) Stop() {
 	n.Signal(syscall.SIGTERM)
@@ -186,18 +182,3 @@
 		<-n.exited
 	}
 }
-
-// StatusMB returns a figure of the process's status, such as VmHWM, in MiB.
-func (n *Node) StatusMB(name string) float64 {
-	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", n.PID()))
-	if err != nil {
-		return 0
-	}
-	for _, line := range strings.Split(string(text), "\n") {
-		var kb float64
-		if _, err := fmt.Sscanf(line, name+": %f kB", &kb); err == nil {
-			return kb / 1024
-		}
-	}
-	return 0
-}
