--- a/review/2/main.go
+++ b/review/2/main.go
@@ -81,7 +81,7 @@
 	})
 	record.Say("served as made: %d, served otherwise: %d, refused or failed: %d, spoilt answers: %d", served, wrong, other, spoilt)
 	switch {
-	case served == 0 || trouble && spoilt == 0:
+	case d.HasLostANode() || served == 0 || trouble && spoilt == 0:
 		return kit.CouldNot
 	case wrong > 0:
 		return kit.Broken
--- a/review/kit/deployment.go
+++ b/review/kit/deployment.go
@@ -4,21 +4,23 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"os/signal"
 	"path/filepath"
 	"sync"
+	"syscall"
 	"time"
 )
 
 // Deployment is a small deployment: nodes of the program, billing servers in two data centres and discovery.
 type Deployment struct {
-	Record    *Record
-	Discovery *Discovery
-	Servers   []*Server
-	Nodes     []*Node
-	Clients   []*Client // one for each node
+	Record  *Record
+	Servers []*Server
+	Nodes   []*Node
+	Clients []*Client // one for each node
 
-	dir   string
-	links []*Link
+	dir         string
+	discoveries []*Discovery // one view for each node: the endpoint of a server may differ from one node to the next
+	links       []*Link
 }
 
 // Options describe a deployment.
@@ -27,7 +29,7 @@
 	Record       *Record
 	Nodes        int
 	Servers      int
-	CrossDelay   time.Duration // one way between a node and each billing server; 0: none
+	CrossDelay   time.Duration // one way between a node and a billing server of the other data centre; 0: none
 	MemoryMB     int
 	Sockets      int
 	LogLevel     string
@@ -37,23 +39,37 @@
 
 // Start starts a deployment and waits until all nodes are ready.
 func Start(o Options) (*Deployment, error) {
-	dir, err := os.MkdirTemp("", "review-")
-	if err != nil {
-		return nil, err
+	d := &Deployment{Record: o.Record}
+	var err error
+	if d.dir, err = os.MkdirTemp("", "review-"); err != nil {
+		return d, err
 	}
-	d := &Deployment{Record: o.Record, dir: dir}
-	var entries []Entry
+	go d.endWhenInterrupted()
 	for i := range o.Servers {
 		s, err := NewServer(fmt.Sprintf("s-%02d", i), o.Record, o.AnswerServer)
 		if err != nil {
 			return d, err
 		}
 		d.Servers = append(d.Servers, s)
+	}
+	for i := range o.Nodes {
+		if err := d.startNode(o, i); err != nil {
+			return d, err
+		}
+	}
+	return d, nil
+}
+
+// startNode starts a node and its view of discovery. Between the node and the billing servers of the other data centre
+// stands a link.
+func (d *Deployment) startNode(o Options, index int) error {
+	var entries []Entry
+	for i, s := range d.Servers {
 		addr := s.Addr()
-		if o.CrossDelay > 0 {
+		if o.CrossDelay > 0 && i%len(Zones) != index%len(Zones) {
 			link, err := NewLink(addr, o.CrossDelay)
 			if err != nil {
-				return d, err
+				return err
 			}
 			d.links = append(d.links, link)
 			addr = link.Addr()
@@ -61,23 +77,54 @@
 		entries = append(entries, Entry{UID: s.UID, Endpoint: addr, AZ: Zones[i%len(Zones)], Model: "fast-2c", PodGroup: i / 5,
 			State: "in_service", CapacityHint: 1})
 	}
-	if d.Discovery, err = NewDiscovery(entries); err != nil {
-		return d, err
+	discovery, err := NewDiscovery(entries)
+	if err != nil {
+		return err
 	}
-	for i := range o.Nodes {
-		settings := Settings(i, o.Nodes)
-		if o.Change != nil {
-			o.Change(settings)
-		}
-		n, err := StartNode(NodeOptions{Root: o.Root, Run: o.Run, Dir: dir, Index: i, Discovery: d.Discovery.Addr(),
-			Known: d.Discovery.Known(), Settings: settings, MemoryMB: o.MemoryMB, Sockets: o.Sockets, LogLevel: o.LogLevel})
-		if err != nil {
-			return d, err
+	d.discoveries = append(d.discoveries, discovery)
+	settings := Settings(index, o.Nodes)
+	if o.Change != nil {
+		o.Change(settings)
+	}
+	n, err := StartNode(NodeOptions{Root: o.Root, Run: o.Run, Dir: d.dir, Index: index, Discovery: discovery.Addr(),
+		Known: discovery.Known(), Settings: settings, MemoryMB: o.MemoryMB, Sockets: o.Sockets, LogLevel: o.LogLevel})
+	if err != nil {
+		return err
+	}
+	d.Nodes = append(d.Nodes, n)
+	d.Clients = append(d.Clients, NewClient(n.Addr))
+	return nil
+}
+
+// timeLimit is the longest time that a case takes.
+const timeLimit = 110 * time.Second
+
+// endWhenInterrupted ends all processes and the case, which then could not run, at a signal or after timeLimit.
+func (d *Deployment) endWhenInterrupted() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM, syscall.SIGHUP)
+	reason := "it took too long"
+	select {
+	case s := <-signals:
+		reason = s.String()
+	case <-time.After(timeLimit):
+	}
+	killAll()
+	os.RemoveAll(d.dir)
+	d.Record.Say("the case could not run to its end: %s", reason)
+	d.Record.Close()
+	os.Exit(CouldNot)
+}
+
+// HasLostANode reports whether a node has ended by itself, and says so.
+func (d *Deployment) HasLostANode() bool {
+	for _, n := range d.Nodes {
+		if n.HasExited() {
+			d.Record.Say("the case could not run to its end: %s ended: %v", n.Name, n.err)
+			return true
 		}
-		d.Nodes = append(d.Nodes, n)
-		d.Clients = append(d.Clients, NewClient(n.Addr))
 	}
-	return d, nil
+	return false
 }
 
 // Stop ends all processes and stand-ins and removes the temporary folder. It copies the nodes' logs into the record.
@@ -92,12 +139,15 @@
 			d.Record.Line("log of %s:\n%.20000s", n.Name, text)
 		}
 	}
-	if d.Discovery != nil {
-		d.Discovery.Close()
+	for _, discovery := range d.discoveries {
+		discovery.Close()
 	}
 	for _, l := range d.links {
 		l.Close()
 	}
+	if count, late, mean := linkDelays(); count > 0 {
+		d.Record.Say("links passed on %d pieces after %.2f ms in the mean, %d of them after more than 5.2 ms", count, mean, late)
+	}
 	for _, s := range d.Servers {
 		s.Close()
 	}
--- a/review/kit/link.go
+++ b/review/kit/link.go
@@ -2,6 +2,8 @@
 
 import (
 	"net"
+	"runtime"
+	"sync"
 	"time"
 )
 
@@ -72,11 +74,15 @@
 		}
 	}()
 	for p := range pieces {
-		time.Sleep(time.Until(p.at))
+		time.Sleep(time.Until(p.at) - 1500*time.Microsecond) // a sleep ends up to about 1 ms late
+		for time.Now().Before(p.at) {
+			runtime.Gosched()
+		}
 		if p.data == nil {
 			to.(*net.TCPConn).CloseWrite()
 			continue
 		}
+		noteDelay(l.delay + time.Since(p.at))
 		if _, err := to.Write(p.data); err != nil {
 			from.Close()
 		}
@@ -86,3 +92,28 @@
 	}
 	from.(*net.TCPConn).CloseRead()
 }
+
+// delays are the delays of all pieces that links passed on.
+var delays struct {
+	sync.Mutex
+	count, late int
+	sum         time.Duration
+}
+
+func noteDelay(delay time.Duration) {
+	delays.Lock()
+	defer delays.Unlock()
+	delays.count++
+	delays.sum += delay
+	if delay > 5200*time.Microsecond {
+		delays.late++
+	}
+}
+
+// linkDelays returns the number of pieces that links passed on, how many of them took over 5.2 ms, and their mean delay in
+// milliseconds.
+func linkDelays() (count, late int, mean float64) {
+	delays.Lock()
+	defer delays.Unlock()
+	return delays.count, delays.late, delays.sum.Seconds() * 1000 / float64(max(1, delays.count))
+}
--- a/review/kit/node.go
+++ b/review/kit/node.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"sync"
 	"syscall"
 	"time"
 )
@@ -75,6 +76,23 @@
 	err     error
 }
 
+// processes are the nodes that were started, for the end of a case that is interrupted.
+var processes struct {
+	sync.Mutex
+	started []*Node
+}
+
+// killAll ends all nodes that were started, at once. None is started any more.
+func killAll() {
+	processes.Lock() // stays locked
+	for _, n := range processes.started {
+		n.Signal(syscall.SIGKILL)
+	}
+	for _, n := range processes.started {
+		<-n.exited
+	}
+}
+
 // FreeAddr returns a loopback address with a free port.
 func FreeAddr() (string, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -136,7 +154,13 @@
 		"PROXY_CONFIG="+configPath, "OTTERSTEP_LOG_LEVEL="+o.LogLevel)
 	n.cmd.Stdout, n.cmd.Stderr = logFile, logFile
 	n.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	if err := n.cmd.Start(); err != nil {
+	processes.Lock()
+	err = n.cmd.Start()
+	if err == nil {
+		processes.started = append(processes.started, n)
+	}
+	processes.Unlock()
+	if err != nil {
 		return nil, err
 	}
 	go func() {
--- a/review/run-case.sh
+++ b/review/run-case.sh
@@ -8,9 +8,4 @@
 	echo "build the project and run review/build.sh first" >&2
 	exit 2
 }
-timeout -k 5 115 "$program" "$root" "$run" "$root/review/$1/record.txt"
-code=$?
-case $code in
-0 | 1) exit $code ;;
-esac
-exit 2
+exec "$program" "$root" "$run" "$root/review/$1/record.txt"
