node: fail a response that is longer than its length says

Cause: readResult decided that the attempt was served before it looked at what follows the response, and used that only to close the connection. What it looked at was the reader's buffer, which holds neither what is still in the socket nor what comes in a piece of its own.

Change: serverConn.confirmEnd waits for 10 ms for what follows a response. Nothing, a copy of the response, or what can't continue a JSON text that is whole leave it served; all else fails the attempt, which may have run. The reason is logged at level debug. Each answer now takes 10 ms longer.

Tests that change: "served, then more bytes" asserted that an answer is served before another one with another body. In its place stand a copy, which is served, and another response, which fails. TestLateBytesAreNotTheNextResponse sends a copy instead of another body for the same reason; its requests alternate, so a copy is still wrong for the next one. TestConnectionThatTheServerClosedIsNotUsed forces the close behind the return of the connection to the pool, as the wait would see it before.

--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -25,7 +25,10 @@
 
 func newClock() clock { return clock{time.Now()} }
 
-func (c clock) now() time.Duration { return time.Since(c.start) + clockOrigin }
+func (c clock) now() time.Duration { return c.at(time.Now()) }
+
+// at returns the reading of the clock at a time with a monotonic reading.
+func (c clock) at(t time.Time) time.Duration { return t.Sub(c.start) + clockOrigin }
 
 // fromUnixMs converts a wall-clock time in Unix milliseconds to a reading of the clock. It returns 0
 // for a time of 0 or less, and for one before the clock's zero.
@@ -551,6 +554,9 @@
 	go func() {
 		result := l.upstream.roundTrip(ctx, incarnation, outgoing, timeLeft, newAttempt)
 		endedAt := l.clock.now()
+		if !result.receivedAt.IsZero() {
+			endedAt = l.clock.at(result.receivedAt)
+		}
 		l.post(func() { l.roundTripFinished(newAttempt, result, endedAt) })
 	}()
 }
--- a/internal/node/response.go
+++ b/internal/node/response.go
@@ -10,6 +10,7 @@
 	"net/textproto"
 	"strconv"
 	"strings"
+	"time"
 )
 
 const (
@@ -22,7 +23,8 @@
 	statusCode int
 	header     textproto.MIMEHeader
 	body       []byte
-	closesConn bool // the server closes the connection after the response
+	closesConn bool      // the server closes the connection after the response
+	receivedAt time.Time // time at which the last byte was received
 }
 
 // errMalformedResponse is the error that all errors about malformed responses wrap.
--- a/internal/node/response_faults_test.go
+++ b/internal/node/response_faults_test.go
@@ -11,14 +11,15 @@
 	"otterstep/policy"
 )
 
-// Guards against a second response that a server sends shortly after the first: on a connection that is
-// reused at once, it would be read as the response to the next request.
+// Guards against a copy of a response that a server sends shortly after it: on a connection that is reused at
+// once, it would be read as the response to the next request.
 func TestLateBytesAreNotTheNextResponse(t *testing.T) {
 	sent := make(chan struct{}, 8)
 	s := newFakeServer(t, func(n int64, r *http.Request, c net.Conn) bool {
-		io.WriteString(c, okResponse(r.Header.Get("X-Correlation-Id")))
+		text := okResponse(r.Header.Get("X-Correlation-Id"))
+		io.WriteString(c, text)
 		time.Sleep(time.Millisecond)
-		io.WriteString(c, okResponse("stale"))
+		io.WriteString(c, text)
 		sent <- struct{}{}
 		return true
 	})
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -78,8 +78,9 @@
 type attemptResult struct {
 	status         policy.Status
 	contentType    string
-	body           []byte // body of the response if the status is OK
-	invalidRequest bool   // the server has answered that the request is invalid
+	body           []byte    // body of the response if the status is OK
+	invalidRequest bool      // the server has answered that the request is invalid
+	receivedAt     time.Time // time at which the last byte of a response was received; zero: there is none
 }
 
 // upstream carries out attempts on pooled connections to servers, one request at a time on each. It
@@ -87,10 +88,11 @@
 // Idempotency-Key, again by itself if a pooled connection turns out to be dead: an attempt that the
 // Balancer does not know of.
 type upstream struct {
-	maxIdle  time.Duration // longest time that a connection is kept idle
-	dialer   dialer
-	maxConns int // limit on open connections, including idle ones
-	log      *slog.Logger
+	maxIdle       time.Duration // longest time that a connection is kept idle
+	responseTimes responseTimes
+	dialer        dialer
+	maxConns      int // limit on open connections, including idle ones
+	log           *slog.Logger
 
 	mu        sync.Mutex
 	idleConns map[serverIncarnation][]*serverConn // idle connections to each server, the most recently used last
@@ -103,17 +105,19 @@
 func newUpstream(connIdle, connectTimeout time.Duration, maxConns int) *upstream {
 	return &upstream{
 		maxIdle: connIdle * 3 / 4, dialer: tcpDialer(connectTimeout), maxConns: maxConns,
-		log: slog.New(slog.DiscardHandler), idleConns: map[serverIncarnation][]*serverConn{},
+		responseTimes: responseTimes{quiet: responseQuietTime, stall: responseStallTimeout},
+		log:           slog.New(slog.DiscardHandler), idleConns: map[serverIncarnation][]*serverConn{},
 	}
 }
 
 // serverConn is a connection to a server.
 type serverConn struct {
 	*net.TCPConn
-	incarnation  serverIncarnation
-	limitedInput io.LimitedReader // connection with a limit on the bytes that one response may take
-	reader       *bufio.Reader    // buffered reader of limitedInput
-	idleSince    time.Time
+	incarnation   serverIncarnation
+	limitedInput  io.LimitedReader // connection with a limit on the bytes that one response may take
+	reader        *bufio.Reader    // buffered reader of limitedInput
+	responseTimes responseTimes
+	idleSince     time.Time // time of the last byte of the last response, or of the connect
 }
 
 // errConnLimit is the error of acquireConn when maxConns connections are open and none is idle.
@@ -153,34 +157,47 @@
 		return attemptResult{status: policy.ConnectFailed}
 	}
 	permit.finishWrite()
-	result, reusable := c.readResult(ctx)
+	response, reusable, err := c.readWholeResponse(ctx)
 	u.releaseConn(c, unregister() && reusable)
-	return result
+	if err != nil {
+		u.log.Debug("response cannot be used", "endpoint", incarnation.addr, "err", err)
+		return attemptResult{status: policy.ConnectionReset}
+	}
+	return response.attemptResult()
 }
 
-// readResult reads a response, and reports whether the connection may be reused. If the response can't
-// be read, or is neither a 200 nor marked as unprocessed, the request may have run.
-func (c *serverConn) readResult(ctx context.Context) (result attemptResult, reusable bool) {
-	c.limitedInput.N = maxResponseHeadBytes + maxBodyBytes
-	response, err := readResponse(c.reader,
+// readWholeResponse reads a response and what tells that it is whole, and reports whether the
+// connection may be reused. With an error the request may have run.
+func (c *serverConn) readWholeResponse(ctx context.Context) (response serverResponse, reusable bool, err error) {
+	c.limitedInput.N = maxResponseBytes
+	response, err = readResponse(c.reader,
 		func() { c.setResponseDeadline(ctx, time.Time{}) },
-		func() { c.setResponseDeadline(ctx, time.Now().Add(responseStallTimeout)) })
+		func() { c.setResponseDeadline(ctx, time.Now().Add(c.responseTimes.stall)) })
 	if err != nil {
-		return attemptResult{status: policy.ConnectionReset}, false
+		return response, false, err
 	}
-	isUnavailable := response.statusCode == http.StatusServiceUnavailable || response.statusCode == http.StatusGatewayTimeout
+	response.receivedAt = time.Now()
+	c.idleSince = response.receivedAt
+	silent, err := c.confirmEnd(ctx, &response)
+	c.setResponseDeadline(ctx, time.Time{})
+	return response, silent && !response.closesConn, err
+}
+
+// attemptResult returns the result of an attempt that has got a response. If the response is neither a
+// 200 nor marked as unprocessed, the request may have run.
+func (r *serverResponse) attemptResult() attemptResult {
+	result := attemptResult{status: policy.ServerError, receivedAt: r.receivedAt}
+	isUnavailable := r.statusCode == http.StatusServiceUnavailable || r.statusCode == http.StatusGatewayTimeout
 	switch {
-	case response.statusCode == http.StatusOK:
-		result = attemptResult{status: policy.OK, contentType: response.header.Get("Content-Type"), body: response.body}
-	case isUnavailable && response.header.Get("X-Unprocessed") == "1":
+	case r.statusCode == http.StatusOK:
+		result.status, result.contentType, result.body = policy.OK, r.header.Get("Content-Type"), r.body
+	case isUnavailable && r.header.Get("X-Unprocessed") == "1":
 		result.status = policy.Rejected
 	default:
-		result.status = policy.ServerError
-		result.invalidRequest = response.statusCode/100 == 4 &&
-			response.statusCode != http.StatusRequestTimeout && response.statusCode != http.StatusTooManyRequests
+		result.invalidRequest = r.statusCode/100 == 4 &&
+			r.statusCode != http.StatusRequestTimeout && r.statusCode != http.StatusTooManyRequests
 	}
-	c.setResponseDeadline(ctx, time.Time{})
-	return result, !response.closesConn && c.reader.Buffered() == 0
+	return result
 }
 
 // setResponseDeadline sets the read deadline, unless ctx has ended: then a deadline in the past stays.
@@ -228,7 +245,7 @@
 		u.log.Debug("connection to server failed", "endpoint", incarnation.addr, "err", err)
 		return nil, fmt.Errorf("connect: %w", err)
 	}
-	c := &serverConn{TCPConn: tcpConn.(*net.TCPConn), incarnation: incarnation}
+	c := &serverConn{TCPConn: tcpConn.(*net.TCPConn), incarnation: incarnation, responseTimes: u.responseTimes, idleSince: time.Now()}
 	c.limitedInput.R = c.TCPConn
 	c.reader = bufio.NewReaderSize(&c.limitedInput, 4<<10)
 	return c, nil
@@ -242,7 +259,6 @@
 		u.close(c, closedUnusable)
 		return
 	}
-	c.idleSince = time.Now()
 	u.idleConns[c.incarnation] = append(u.idleConns[c.incarnation], c)
 }
 
--- a/internal/node/upstream_test.go
+++ b/internal/node/upstream_test.go
@@ -132,7 +132,6 @@
 }
 
 func TestAttemptStatusForEachResponse(t *testing.T) {
-	extraResponse := "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx"
 	head := func(lines string) string { return "HTTP/1.1 200 OK\r\n" + lines + "\r\n\r\nhello" }
 	for name, testCase := range map[string]struct {
 		text   string
@@ -144,7 +143,9 @@
 		"served after interim":      {"HTTP/1.1 103 Early Hints\r\n\r\n" + okResponse("hello"), true, policy.OK, 1},
 		"served in chunks":          {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n", true, policy.OK, 1},
 		"served, then closed":       {"HTTP/1.1 200 OK\r\nContent-Length: 5\r\nConnection: close\r\n\r\nhello", false, policy.OK, 0},
-		"served, then more bytes":   {okResponse("hello") + extraResponse, true, policy.OK, 0},
+		"served, then a copy":       {okResponse("hello") + okResponse("hello"), true, policy.OK, 0},
+		"another response behind":   {okResponse("hello") + okResponse("x"), true, policy.ConnectionReset, 0},
+		"longer than its length":    {"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhello", true, policy.ConnectionReset, 0},
 		"error":                     {"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n", true, policy.ServerError, 1},
 		"rejected":                  {"HTTP/1.1 503 No\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n", true, policy.Rejected, 1},
 		"rejected as too late":      {"HTTP/1.1 504 No\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n", true, policy.Rejected, 1},
@@ -315,11 +316,18 @@
 // Guards against sending on a connection that the server has closed in the meantime: a close that the node
 // detects in time costs no attempt.
 func TestConnectionThatTheServerClosedIsNotUsed(t *testing.T) {
-	s, u := newFakeServer(t, respondWith(okResponse("x"), false)), newTestUpstream(t, 8)
+	connPooled := make(chan struct{})
+	s := newFakeServer(t, func(_ int64, _ *http.Request, c net.Conn) bool {
+		io.WriteString(c, okResponse("x"))
+		<-connPooled
+		return false
+	})
+	u := newTestUpstream(t, 8)
 	for range 2 {
 		if result := u.roundTrip(t.Context(), incarnationAt(s.addr), pushRequest(), time.Second, allowWrite); result.status != policy.OK {
 			t.Fatalf("status %d, want OK", result.status)
 		}
+		connPooled <- struct{}{}
 		waitFor(t, "close by the server", func() bool {
 			u.mu.Lock()
 			defer u.mu.Unlock()
