node: answer a request whose body goes on behind its length with an error

What callers saw: a client that states a length smaller than its body, or sends a body behind a GET or noise behind its request, had the part forwarded and got a 200, and then a 400 for the rest.

Cause: net/http reads ahead into a buffer that a handler can't see, so what followed a request was looked at only once it had been answered.

Change: clientInput hands net/http data up to the end of a head or a body. What is left has to be able to begin another request, before the request is forwarded and before it is served; else the client gets a 400 and the connection closes. Requests that are sent together still are answered in their order.

Discovery's lists are not affected, with a test that passed before: each part of one is unusable.

--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -59,17 +59,12 @@
 	listedSince time.Time     // time at which the connection entered the list
 	isEvicted   bool          // the connection is about to close, unless data has arrived by then
 
-	// pipelined is what the client has sent after an open request. Only Read uses it, and net/http
-	// makes one call of Read at a time.
-	pipelined []byte
+	input clientInput
 	// pipelineOverflowed is set once the client has sent more than maxPipelinedBytes. The rest is lost, so
 	// the connection must close.
 	pipelineOverflowed atomic.Bool
 }
 
-// maxPipelinedBytes is how much the node keeps of what a client sends after an open request.
-const maxPipelinedBytes = 4 << 10
-
 // newClientConns returns a clientConns that uses no more than the given number of file descriptors.
 func newClientConns(descriptors int) *clientConns {
 	headroom := descriptors / 8
@@ -127,11 +122,7 @@
 	if len(b) == 1 && !c.isWaiting() {
 		return 0, c.awaitClose()
 	}
-	if len(c.pipelined) > 0 {
-		n := copy(b, c.pipelined)
-		if c.pipelined = c.pipelined[n:]; len(c.pipelined) == 0 {
-			c.pipelined = nil
-		}
+	if n := c.input.take(b); n > 0 {
 		c.undoEviction()
 		return n, nil
 	}
@@ -145,6 +136,7 @@
 	}
 	if n > 0 {
 		c.undoEviction()
+		n = c.input.cut(b[:n])
 	}
 	return n, err
 }
@@ -155,12 +147,9 @@
 	var b [512]byte
 	for {
 		n, err := c.Conn.Read(b[:])
-		if len(c.pipelined)+n > maxPipelinedBytes {
+		if !c.pipelineOverflowed.Load() && !c.input.keep(b[:n]) {
 			c.pipelineOverflowed.Store(true)
 		}
-		if !c.pipelineOverflowed.Load() {
-			c.pipelined = append(c.pipelined, b[:n]...)
-		}
 		if err != nil {
 			return err
 		}
--- a/internal/node/clients_test.go
+++ b/internal/node/clients_test.go
@@ -87,7 +87,11 @@
 		"huge length":         {strings.Replace(rawRequest(t, "book"), "Length: 7", "Length: 99999999999999", 1), []int{0, 413}},
 		"60 MB": {strings.Replace(rawRequest(t, "book"), "Length: 7", "Length: 62914560", 1) +
 			strings.Repeat("b", 1<<20), []int{0, 413}},
-		"hundreds at once": {strings.Repeat("GET /nope/1 HTTP/1.1\r\nHost: api\r\n\r\n", 500), []int{400}},
+		"body longer than its length":   {rawRequest(t, "book") + "load", []int{400}},
+		"lines longer than the length":  {rawRequest(t, "book") + "\r\n\r\nand more\r\n\r\n", []int{400}},
+		"body behind a request without": {rawRequest(t, "read") + "payload", []int{400}},
+		"noise behind a request":        {rawRequest(t, "read") + "\x00\x01\xff\xfe\r\n\r\n", []int{400}},
+		"hundreds at once":              {strings.Repeat("GET /nope/1 HTTP/1.1\r\nHost: api\r\n\r\n", 500), []int{400}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -72,6 +72,9 @@
 
 func (e *clientError) Error() string { return e.text }
 
+// errNoRequestAfterBody is the error of a request that is followed by data that can't be another request.
+var errNoRequestAfterBody = badRequest("data after the body that is no request")
+
 // badRequest returns a clientError with the status 400.
 func badRequest(format string, args ...any) error {
 	return &clientError{http.StatusBadRequest, fmt.Sprintf(format, args...)}
@@ -110,6 +113,9 @@
 	if err == nil {
 		outgoing.body, err = readRequestBody(r)
 	}
+	if err == nil && isFollowedByNoRequest(r) {
+		err = errNoRequestAfterBody
+	}
 	if err != nil {
 		f.writeClientError(w, err)
 		return
@@ -130,6 +136,10 @@
 			f.writeClientError(w, &clientError{http.StatusConflict, "X-Correlation-Id: in use"})
 			return
 		}
+		if answer.kind == answerServed && isFollowedByNoRequest(r) {
+			f.writeClientError(w, errNoRequestAfterBody) // the server may have got a body that was cut off
+			return
+		}
 		f.close(w, r)
 		writeAnswer(w, answer)
 	case <-r.Context().Done(): // the client has disconnected
@@ -255,6 +265,9 @@
 
 // readRequestBody reads a body whose declared length has been checked.
 func readRequestBody(r *http.Request) ([]byte, error) {
+	if c, ok := r.Context().Value(clientConnKey{}).(*clientConn); ok {
+		c.input.expectBody(r.ContentLength)
+	}
 	body := make([]byte, r.ContentLength)
 	if _, err := io.ReadFull(r.Body, body); err != nil {
 		return nil, &clientError{http.StatusRequestTimeout, "body: shorter than its length"}
--- a/internal/node/outdated_answer_test.go
+++ b/internal/node/outdated_answer_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"log/slog"
+	"strings"
 	"testing"
 	"time"
 
@@ -39,3 +42,29 @@
 		}
 	}
 }
+
+// Guards against a list that is cut off and accepted as whole: its length is too small, and the rest follows. The
+// entries that take servers out of service count as far as they were read.
+func TestListThatIsLongerThanItsLengthIsUnusable(t *testing.T) {
+	const text = `{"rev":42,"all":true,"targets":[` + terminatingEntryText + `,` + inServiceEntryText + `]}`
+	for length := range len(text) {
+		s := newFakeServer(t, respondWith(fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", length, text), true))
+		client := newDiscoveryClient(s.addr, parseTestNodeSettings(t, testSettings), newClock(), slog.New(slog.DiscardHandler))
+		outOfService := 0
+		call := &listCall{Call: policy.Call{ID: 1}, wantsWhole: true, deliver: func(reply callReply) {
+			outOfService += len(reply.list.entries)
+			if !reply.isPartial {
+				t.Errorf("length %d: the list was delivered as whole", length)
+			}
+		}}
+		reply := client.fetch(t.Context(), call, client.callURL(call))
+		var unusable *unusableError
+		if !errors.As(reply.err, &unusable) || len(reply.list.entries) > 0 {
+			t.Errorf("length %d: error %v, %d entries; want an unusable answer", length, reply.err, len(reply.list.entries))
+		}
+		if entryEnd := strings.Index(text, terminatingEntryText) + len(terminatingEntryText); length > entryEnd && outOfService == 0 {
+			t.Errorf("length %d: no server is out of service", length)
+		}
+		client.client.CloseIdleConnections()
+	}
+}
