--- a/internal/node/client_input_test.go
+++ b/internal/node/client_input_test.go
@@ -21,24 +21,12 @@
 		io.WriteString(c, okResponse("x"))
 		return true
 	})
-	conns := make(chan *clientConn, 1)
-	_, addr := startFront(t, s, func(group *clientConns, c net.Conn, state http.ConnState) {
-		if group.onConnState(c, state); state == http.StateNew {
-			conns <- c.(*clientConn)
-		}
-	})
-	c, err := net.Dial("tcp", addr)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer c.Close()
+	c, nodeConn := dialFront(t, s)
 	io.WriteString(c, rawRequest(t, "book"))
 	<-arrived
 	io.WriteString(c, "load")
-	nodeConn := <-conns
 	waitFor(t, "rest of the body", func() bool { return !nodeConn.input.mayBeRequest() })
 	close(hold)
-	c.SetDeadline(time.Now().Add(testTimeout))
 	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
 	if err != nil || resp.StatusCode != http.StatusBadRequest || !resp.Close {
 		t.Errorf("answered %+v, %v; want 400 and a close", resp, err)
--- a/internal/node/clients_test.go
+++ b/internal/node/clients_test.go
@@ -340,6 +340,24 @@
 	}
 }
 
+// dialFront runs a front with one server, and returns both ends of a connection to it.
+func dialFront(t *testing.T, s *fakeServer) (c net.Conn, nodeConn *clientConn) {
+	t.Helper()
+	conns := make(chan *clientConn, 1)
+	_, addr := startFront(t, s, func(group *clientConns, c net.Conn, state http.ConnState) {
+		if group.onConnState(c, state); state == http.StateNew {
+			conns <- c.(*clientConn)
+		}
+	})
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	c.SetDeadline(time.Now().Add(testTimeout))
+	return c, <-conns
+}
+
 // Guards against pipelined data that is lost, and against keeping any amount of it: the node reads what
 // a client sends after an open request once that is answered, up to a limit.
 func TestPipelinedDataIsReadAfterTheAnswer(t *testing.T) {
@@ -352,18 +370,7 @@
 		io.WriteString(c, okResponse(fmt.Sprint(n)))
 		return true
 	})
-	conns := make(chan *clientConn, 1)
-	_, addr := startFront(t, s, func(group *clientConns, c net.Conn, state http.ConnState) {
-		if group.onConnState(c, state); state == http.StateNew {
-			conns <- c.(*clientConn)
-		}
-	})
-	c, err := net.Dial("tcp", addr)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer c.Close()
-	c.SetDeadline(time.Now().Add(testTimeout))
+	c, nodeConn := dialFront(t, s)
 	in := bufio.NewReader(c)
 	expectAnswer := func(want string, closes bool) {
 		t.Helper()
@@ -388,7 +395,6 @@
 	io.WriteString(c, rawRequest(t, "read"))
 	<-arrived
 	go io.WriteString(c, strings.Repeat(rawRequest(t, "read"), 2*maxPipelinedBytes/100))
-	nodeConn := <-conns
 	waitFor(t, "overflow of the pipelined data", nodeConn.pipelineOverflowed.Load)
 	close(hold)
 	expectAnswer("1", true)
