Free a server once it has responded, before its outcome is confirmed

Change: Balancer.ResponseReceived frees the server of an attempt as soon as its response is there; the outcome follows. TestServerIsFreeOnceItHasResponded and TestResponseFreesItsServerBeforeItsOutcomeIsKnown fail without it. The random events of TestRulesHoldUnderRandomEvents have it.

--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -98,8 +98,9 @@
 	phaseAbandoned
 )
 
-// attempt is one attempt of a request at one server. It implements writePermit.
+// attempt is one attempt of a request at one server. It implements attemptControl.
 type attempt struct {
+	loop            *loop
 	clock           clock
 	gate            *sendGate
 	request         *request
@@ -129,6 +130,15 @@
 // finishWrite records that the last byte of the request has been written.
 func (a *attempt) finishWrite() { a.phase.CompareAndSwap(phaseWriting, phaseWritten) }
 
+// responseReceived passes on that the server has responded.
+func (a *attempt) responseReceived() {
+	a.loop.post(func() {
+		if !a.outcomeReported {
+			a.loop.balancer.ResponseReceived(a.loop.now, a.request.id, a.index)
+		}
+	})
+}
+
 // timer is a callback that the loop runs at a time.
 type timer struct {
 	at       time.Duration
@@ -529,7 +539,7 @@
 		return
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	newAttempt := &attempt{clock: l.clock, gate: l.gate, request: r, index: len(r.attempts), serverID: server,
+	newAttempt := &attempt{loop: l, clock: l.clock, gate: l.gate, request: r, index: len(r.attempts), serverID: server,
 		sentAt: l.now, cancel: cancel}
 	r.attempts = append(r.attempts, newAttempt)
 	r.inFlight++
--- a/internal/node/response_end.go
+++ b/internal/node/response_end.go
@@ -50,7 +50,7 @@
 // is whole: a copy of the response, and, after a body that shows by itself that it is whole, anything
 // that can't continue it. All other data may be the rest of the body. docs/endings.md says what can't
 // be told apart.
-func (c *serverConn) confirmEnd(ctx context.Context, response *serverResponse) (silent bool, err error) {
+func (c *serverConn) confirmEnd(ctx context.Context, response *serverResponse, onReceived func()) (silent bool, err error) {
 	extent := bodyExtentOf(response)
 	wait := c.responseTimes.quiet
 	switch extent {
@@ -59,6 +59,9 @@
 	case extentWhole:
 		wait = noWait
 	}
+	if wait > 0 {
+		onReceived()
+	}
 	c.limitedInput.N = maxResponseBytes
 	arrived, silent := c.awaitData(ctx, wait)
 	switch {
--- a/internal/node/response_end_test.go
+++ b/internal/node/response_end_test.go
@@ -167,7 +167,7 @@
 		}
 		_, _ = io.Copy(io.Discard, server)
 	}()
-	return c.readWholeResponse(t.Context())
+	return c.readWholeResponse(t.Context(), func() {})
 }
 
 // Guards against a body that is served cut off, as if it were whole: the length that the response states is
@@ -309,7 +309,7 @@
 		}
 		defer server.Close()
 		io.WriteString(server, text)
-		response, reusable, err := c.readWholeResponse(t.Context())
+		response, reusable, err := c.readWholeResponse(t.Context(), func() {})
 		if isCopy := name == "before its copy"; isCopy != (err == nil) || reusable {
 			t.Errorf("%s: error %v, body of %d bytes, reusable %t", name, err, len(response.body), reusable)
 		}
@@ -395,3 +395,20 @@
 		}
 	}
 }
+
+// Guards against a server that gets no further requests while the ends of its responses are confirmed.
+func TestServerIsFreeOnceItHasResponded(t *testing.T) {
+	s := newFakeServer(t, respondWith(okResponse("x"), true))
+	l, addr := startFront(t, s, (*clientConns).onConnState)
+	l.upstream.responseTimes.quiet = testTimeout
+	const requests = 7 // more than may be in flight at one server at the start
+	for range requests {
+		c, err := net.Dial("tcp", addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		io.WriteString(c, rawRequest(t, "read"))
+	}
+	waitFor(t, "all requests at the server", func() bool { return s.requests.Load() >= requests })
+}
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -101,19 +101,21 @@
 	}
 }
 
-// writePermit decides whether an attempt may be written, and follows its write.
-type writePermit interface {
+// attemptControl decides whether an attempt may be written, and follows its progress.
+type attemptControl interface {
 	// beginWrite reports whether the request may be written. It is called right before the first byte.
 	beginWrite() bool
 	// finishWrite is called once the last byte has been written.
 	finishWrite()
+	// responseReceived is called once a response has been received whose end has to be confirmed.
+	responseReceived()
 }
 
 // roundTrip makes one attempt. Its status depends on whether the last byte of the request was written:
 // before that the request can't have run, and after that it may have. The connection may take long to
 // come up, so the request states what is left of timeLeft when it is written.
 func (u *upstream) roundTrip(ctx context.Context, incarnation serverIncarnation, outgoing *upstreamRequest,
-	timeLeft time.Duration, permit writePermit) attemptResult {
+	timeLeft time.Duration, control attemptControl) attemptResult {
 	startedAt := time.Now()
 	c, err := u.acquireConn(ctx, incarnation)
 	switch {
@@ -125,7 +127,7 @@
 	}
 	// A past deadline ends pending reads and writes.
 	unregister := context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) })
-	if !permit.beginWrite() {
+	if !control.beginWrite() {
 		u.releaseConn(c, unregister())
 		return attemptResult{status: policy.NotSent}
 	}
@@ -134,8 +136,8 @@
 		u.releaseConn(c, false)
 		return attemptResult{status: policy.ConnectFailed}
 	}
-	permit.finishWrite()
-	response, reusable, err := c.readWholeResponse(ctx)
+	control.finishWrite()
+	response, reusable, err := c.readWholeResponse(ctx, control.responseReceived)
 	u.releaseConn(c, unregister() && reusable)
 	if err != nil {
 		u.log.Debug("response cannot be used", "endpoint", incarnation.addr, "err", err)
@@ -145,8 +147,9 @@
 }
 
 // readWholeResponse reads a response and what tells that it is whole, and reports whether the
-// connection may be reused. With an error the request may have run.
-func (c *serverConn) readWholeResponse(ctx context.Context) (response serverResponse, reusable bool, err error) {
+// connection may be reused. With an error the request may have run. It calls onReceived before it waits
+// for what follows the response.
+func (c *serverConn) readWholeResponse(ctx context.Context, onReceived func()) (response serverResponse, reusable bool, err error) {
 	c.limitedInput.N = maxResponseBytes
 	response, err = readResponse(c.reader,
 		func() { c.setResponseDeadline(ctx, time.Time{}) },
@@ -156,7 +159,7 @@
 	}
 	response.receivedAt = time.Now()
 	c.idleSince = response.receivedAt
-	silent, err := c.confirmEnd(ctx, &response)
+	silent, err := c.confirmEnd(ctx, &response, onReceived)
 	c.setResponseDeadline(ctx, time.Time{})
 	return response, silent && !response.closesConn, err
 }
--- a/internal/node/upstream_test.go
+++ b/internal/node/upstream_test.go
@@ -108,11 +108,12 @@
 	}
 }
 
-// fixedPermit is a writePermit that always gives the same answer.
+// fixedPermit is an attemptControl that always gives the same answer.
 type fixedPermit bool
 
 func (p fixedPermit) beginWrite() bool { return bool(p) }
 func (fixedPermit) finishWrite()       {}
+func (fixedPermit) responseReceived()  {}
 
 // allowWrite permits each write.
 const allowWrite = fixedPermit(true)
@@ -418,7 +419,7 @@
 	}
 }
 
-// slowPermit is a writePermit that permits each write after a delay, as if the connection came up late.
+// slowPermit is an attemptControl that permits each write after a delay, as if the connection came up late.
 type slowPermit struct {
 	delay   time.Duration
 	readyAt time.Time
@@ -430,7 +431,8 @@
 	return true
 }
 
-func (p *slowPermit) finishWrite() {}
+func (p *slowPermit) finishWrite()      {}
+func (p *slowPermit) responseReceived() {}
 
 // Guards against a request that states too much time left: the time that passes until the connection comes up
 // is subtracted.
--- a/policy/concurrency_test.go
+++ b/policy/concurrency_test.go
@@ -192,3 +192,29 @@
 		t.Fatal("a class that takes longer for the same value has to come second")
 	}
 }
+
+// Guards against a server that counts as busy although it has responded: while the outcome of its attempt is not known
+// yet, a waiting request is sent to it, and the outcome still counts.
+func TestResponseFreesItsServerBeforeItsOutcomeIsKnown(t *testing.T) {
+	r := newRunner(t, testSettings(), 1)
+	first := r.sendRequest(0)
+	waiting := r.sendRequest(0)
+	for len(r.serversSentTo(waiting)) > 0 {
+		waiting = r.sendRequest(0)
+	}
+	r.b.ResponseReceived(r.now, first, 0)
+	r.b.ResponseReceived(r.now, first, 0) // once more changes nothing
+	if n := len(r.serversSentTo(waiting)); n != 1 {
+		t.Fatalf("the waiting request was sent %d times, want once", n)
+	}
+	if next := r.sendRequest(0); len(r.serversSentTo(next)) != 0 {
+		t.Error("a response frees its server twice")
+	}
+	outcomes := r.b.subset[0].outcomes.Count
+	r.endAttempt(first, OK, 10*ms)
+	if got := r.b.subset[0].outcomes.Count; got != outcomes+1 {
+		t.Errorf("%d outcomes of the server, want %d", got, outcomes+1)
+	}
+	r.b.ResponseReceived(r.now, first, 0)      // later than the outcome
+	r.b.ResponseReceived(r.now, r.lastID+1, 3) // of no request
+}
--- a/policy/invariants_test.go
+++ b/policy/invariants_test.go
@@ -124,6 +124,9 @@
 // the final answer, or with NotSent if it was cancelled unsent.
 func (c *ruleChecker) endAttempt(id RequestID, checked *checkedRequest, i int) {
 	a := checked.attempts[i]
+	if c.rng.IntN(3) == 0 {
+		c.b.ResponseReceived(c.now, id, i)
+	}
 	status := []Status{OK, OK, OK, ServerError, Rejected, Timeout, ConnectFailed, ConnectionReset}[c.rng.IntN(8)]
 	if c.now >= checked.deadline {
 		status = Timeout
--- a/policy/request.go
+++ b/policy/request.go
@@ -208,6 +208,15 @@
 	b.dispatch(now)
 }
 
+// ResponseReceived tells that the server of an attempt has responded, while the outcome is not known yet. The
+// attempt no longer takes up the server: another one may be sent in its place.
+func (b *Balancer) ResponseReceived(now time.Duration, id RequestID, index int) {
+	if _, a := b.findAttempt(id, index); a != nil {
+		a.removeFromServer()
+		b.dispatch(now)
+	}
+}
+
 // findAttempt returns an attempt with its request, or nil if the attempt is not in flight.
 func (b *Balancer) findAttempt(id RequestID, index int) (*request, *attempt) {
 	r := b.requests[id]
@@ -222,6 +231,11 @@
 	a.inFlight = false
 	r.attemptsInFlight--
 	b.attemptsInFlight--
+	a.removeFromServer()
+}
+
+// removeFromServer removes an attempt from those that take up its server.
+func (a *attempt) removeFromServer() {
 	if i := slices.Index(a.server.inFlight, a); i >= 0 {
 		a.server.inFlight = slices.Delete(a.server.inFlight, i, i+1)
 	}
