node: don't let the wait behind a response make its answer late

Cause: answers that came within 10 ms of the time up to which they earn their value were late after the wait.

Change: the wait ends 3 ms before that time, and is 1 ms at least. A response that is late already is waited behind for 10 ms. TestQuietTimeDoesNotMakeAnAnswerLate.

--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -255,6 +255,11 @@
 		method: r.Method, uri: r.RequestURI, host: r.Host,
 		header: make(http.Header, len(forwardedHeaders)), clientDeadline: receivedAt + min(timeLeft, classSettings.Deadline),
 	}
+	outgoing.valueUntil = outgoing.clientDeadline
+	if target := classSettings.LatencyTarget; target > 0 {
+		target += time.Duration(classSettings.TargetWorkFactor * float64(policyRequest.WorkHint))
+		outgoing.valueUntil = min(outgoing.valueUntil, receivedAt+target)
+	}
 	for _, name := range forwardedHeaders {
 		if values := r.Header[name]; len(values) > 0 {
 			outgoing.header[name] = values
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -76,12 +76,14 @@
 }
 
 // request is a client's request that has no final answer yet or has an attempt in flight. Only the
-// loop's goroutine uses it, except for writeDeadline, which the goroutines of attempts read too.
+// loop's goroutine uses it, except for writeDeadline and the constant valueUntil, which the
+// goroutines of attempts read too.
 type request struct {
 	id            policy.RequestID
 	outgoing      *upstreamRequest
 	answers       chan<- finalAnswer // has buffer space for the one answer
 	deadline      time.Duration      // the Balancer's deadline, at which attempts time out
+	valueUntil    time.Duration      // time up to which an answer earns its full value
 	answered      bool
 	attempts      []*attempt
 	inFlight      int
@@ -130,13 +132,15 @@
 // finishWrite records that the last byte of the request has been written.
 func (a *attempt) finishWrite() { a.phase.CompareAndSwap(phaseWriting, phaseWritten) }
 
-// responseReceived passes on that the server has responded.
-func (a *attempt) responseReceived() {
+// responseReceived passes on that the server has responded, and returns the longest quiet time that does
+// not make the answer late.
+func (a *attempt) responseReceived() time.Duration {
 	a.loop.post(func() {
 		if !a.outcomeReported {
 			a.loop.balancer.ResponseReceived(a.loop.now, a.request.id, a.index)
 		}
 	})
+	return maxQuietTime(a.clock.now(), a.request.valueUntil)
 }
 
 // timer is a callback that the loop runs at a time.
@@ -384,7 +388,7 @@
 	}
 	timeLeft := max(0, outgoing.clientDeadline-l.now)
 	policyRequest.ID, policyRequest.TimeLeft = l.lastRequestID, timeLeft-min(balancerDeadlineMargin, timeLeft/2)
-	r := &request{id: policyRequest.ID, outgoing: outgoing, answers: answers, deadline: l.now + policyRequest.TimeLeft}
+	r := &request{id: policyRequest.ID, outgoing: outgoing, answers: answers, deadline: l.now + policyRequest.TimeLeft, valueUntil: outgoing.valueUntil}
 	l.requests[r.id] = r
 	l.requestLog.requestTaken(r, policyRequest)
 	l.balancer.RequestArrived(l.now, policyRequest)
--- a/internal/node/response_end.go
+++ b/internal/node/response_end.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"errors"
 	"io"
+	"math"
 	"mime"
 	"net/textproto"
 	"os"
@@ -20,8 +21,12 @@
 	responseQuietTime = 10 * time.Millisecond
 	// maxResponseBytes bounds the bytes that one response may take.
 	maxResponseBytes = maxResponseHeadBytes + maxBodyBytes
+	// minResponseQuietTime is the shortest quiet time of an answer that would be late after responseQuietTime.
+	minResponseQuietTime = time.Millisecond
+	// answerSendTime is the time that an answer is given from its confirmation to its arrival at the client.
+	answerSendTime = 3 * time.Millisecond
 	// noWait makes awaitData look only at what has arrived.
-	noWait = -time.Second
+	noWait time.Duration = -time.Second
 	// httpVersionPrefix is how each response begins.
 	httpVersionPrefix = "HTTP/1."
 	// jsonSpace holds the characters that may stand around a JSON text.
@@ -43,6 +48,15 @@
 	extentWhole                     // the content is a value that nothing can continue
 )
 
+// maxQuietTime returns the longest quiet time for a response that earns its full value if it is
+// answered by a time. A response that is too late for that may take any time.
+func maxQuietTime(now, valueUntil time.Duration) time.Duration {
+	if now >= valueUntil {
+		return math.MaxInt64
+	}
+	return max(minResponseQuietTime, valueUntil-answerSendTime-now)
+}
+
 // confirmEnd returns an error unless a response ends where its framing says, and reports whether
 // nothing has followed it. A body that is longer than its stated length must not be served cut off;
 // its rest has arrived, or arrives within the quiet time; a body that shows by itself that it is whole is
@@ -50,17 +64,15 @@
 // is whole: a copy of the response, and, after a body that shows by itself that it is whole, anything
 // that can't continue it. All other data may be the rest of the body. docs/endings.md says what can't
 // be told apart.
-func (c *serverConn) confirmEnd(ctx context.Context, response *serverResponse, onReceived func()) (silent bool, err error) {
+func (c *serverConn) confirmEnd(ctx context.Context, response *serverResponse, onReceived func() (maxWait time.Duration)) (silent bool, err error) {
 	extent := bodyExtentOf(response)
-	wait := c.responseTimes.quiet
+	wait := noWait
 	switch extent {
+	case extentUnknown:
+		wait = min(c.responseTimes.quiet, onReceived())
 	case extentPartial:
-		wait = max(wait, c.responseTimes.stall)
-	case extentWhole:
-		wait = noWait
-	}
-	if wait > 0 {
 		onReceived()
+		wait = max(c.responseTimes.quiet, c.responseTimes.stall)
 	}
 	c.limitedInput.N = maxResponseBytes
 	arrived, silent := c.awaitData(ctx, wait)
--- a/internal/node/response_end_test.go
+++ b/internal/node/response_end_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -167,7 +168,7 @@
 		}
 		_, _ = io.Copy(io.Discard, server)
 	}()
-	return c.readWholeResponse(t.Context(), func() {})
+	return c.readWholeResponse(t.Context(), fixedPermit(true).responseReceived)
 }
 
 // Guards against a body that is served cut off, as if it were whole: the length that the response states is
@@ -309,7 +310,7 @@
 		}
 		defer server.Close()
 		io.WriteString(server, text)
-		response, reusable, err := c.readWholeResponse(t.Context(), func() {})
+		response, reusable, err := c.readWholeResponse(t.Context(), fixedPermit(true).responseReceived)
 		if isCopy := name == "before its copy"; isCopy != (err == nil) || reusable {
 			t.Errorf("%s: error %v, body of %d bytes, reusable %t", name, err, len(response.body), reusable)
 		}
@@ -411,4 +412,22 @@
 		io.WriteString(c, rawRequest(t, "read"))
 	}
 	waitFor(t, "all requests at the server", func() bool { return s.requests.Load() >= requests })
+	open := make(chan int)
+	l.post(func() { open <- len(l.requests) })
+	if n := <-open; n != requests {
+		t.Errorf("%d requests are open, want all %d", n, requests)
+	}
+}
+
+// Guards against answers that the quiet time makes late, and against one that is not confirmed at all.
+func TestQuietTimeDoesNotMakeAnAnswerLate(t *testing.T) {
+	const valueUntil = time.Second
+	for now, want := range map[time.Duration]time.Duration{
+		0: valueUntil - answerSendTime, valueUntil - 7*time.Millisecond: 4 * time.Millisecond,
+		valueUntil - time.Millisecond: minResponseQuietTime, valueUntil: math.MaxInt64,
+	} {
+		if got := maxQuietTime(now, valueUntil); got != want {
+			t.Errorf("%v before the end of its value: %v, want %v", valueUntil-now, got, want)
+		}
+	}
 }
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -37,6 +37,7 @@
 	header         http.Header
 	body           []byte
 	clientDeadline time.Duration // time on the node's clock at which the client gives up
+	valueUntil     time.Duration // time on the node's clock up to which an answer earns its full value
 }
 
 // encode returns the whole request as bytes, so that one write sends it and shows whether its last
@@ -107,8 +108,9 @@
 	beginWrite() bool
 	// finishWrite is called once the last byte has been written.
 	finishWrite()
-	// responseReceived is called once a response has been received whose end has to be confirmed.
-	responseReceived()
+	// responseReceived is called once a response has been received whose end has to be confirmed. It
+	// returns the longest quiet time that the response may be given.
+	responseReceived() (maxWait time.Duration)
 }
 
 // roundTrip makes one attempt. Its status depends on whether the last byte of the request was written:
@@ -149,7 +151,7 @@
 // readWholeResponse reads a response and what tells that it is whole, and reports whether the
 // connection may be reused. With an error the request may have run. It calls onReceived before it waits
 // for what follows the response.
-func (c *serverConn) readWholeResponse(ctx context.Context, onReceived func()) (response serverResponse, reusable bool, err error) {
+func (c *serverConn) readWholeResponse(ctx context.Context, onReceived func() (maxWait time.Duration)) (response serverResponse, reusable bool, err error) {
 	c.limitedInput.N = maxResponseBytes
 	response, err = readResponse(c.reader,
 		func() { c.setResponseDeadline(ctx, time.Time{}) },
--- a/internal/node/upstream_test.go
+++ b/internal/node/upstream_test.go
@@ -111,9 +111,9 @@
 // fixedPermit is an attemptControl that always gives the same answer.
 type fixedPermit bool
 
-func (p fixedPermit) beginWrite() bool { return bool(p) }
-func (fixedPermit) finishWrite()       {}
-func (fixedPermit) responseReceived()  {}
+func (p fixedPermit) beginWrite() bool              { return bool(p) }
+func (fixedPermit) finishWrite()                    {}
+func (fixedPermit) responseReceived() time.Duration { return testTimeout }
 
 // allowWrite permits each write.
 const allowWrite = fixedPermit(true)
@@ -431,8 +431,8 @@
 	return true
 }
 
-func (p *slowPermit) finishWrite()      {}
-func (p *slowPermit) responseReceived() {}
+func (p *slowPermit) finishWrite()                    {}
+func (p *slowPermit) responseReceived() time.Duration { return testTimeout }
 
 // Guards against a request that states too much time left: the time that passes until the connection comes up
 // is subtracted.
