--- /dev/null
+++ b/cmd/otterstep/pressure_memory_test.go
@@ -0,0 +1,68 @@
+package main
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+)
+
+// memoryShape is a kind of client that makes a node hold memory, many at once.
+type memoryShape struct {
+	name   string
+	client pressingClient
+}
+
+// memoryShapes are the shapes that TestPressingClientsStayWithinTheMemoryLimit plays.
+func memoryShapes() []memoryShape {
+	manyFields := distinctFields(pressingHeadBytes - 512)
+	return []memoryShape{
+		{"heads of many short fields", pressingClient{request: read("k", manyFields)}},
+		{"heads of many short fields with no end", pressingClient{request: read("k", manyFields), stopsAfter: pressingHeadBytes - 600}},
+		{"heads of many short fields before a body that stops", pressingClient{request: book("k", manyFields, 64<<10), stopsAfter: pressingHeadBytes + 10<<10}},
+		{"heads of many short fields in pieces", pressingClient{request: read("k", manyFields), pieceBytes: 600, pause: 60 * time.Millisecond}},
+		{"heads of one repeated field", pressingClient{request: read(slowKey, repeatedFields("X-Facts:", pressingHeadBytes-512))}},
+		{"heads of few long fields at a slow server", pressingClient{request: read(slowKey, longFields(pressingHeadBytes-512))}},
+		{"a body that stops", pressingClient{request: book("k", "", 64<<10), stopsAfter: 40 << 10}},
+		{"a body in pieces", pressingClient{request: book("k", "", 64<<10), pieceBytes: 2 << 10, pause: 60 * time.Millisecond}},
+		{"a small body that stops", pressingClient{request: book("k", "", 4<<10), stopsAfter: 3 << 10}},
+		{"whole bodies", pressingClient{request: book("k", "", 60<<10)}},
+		{"whole bodies whose clients leave", pressingClient{request: book(slowKey, "", 60<<10), leavesAfter: 20 * time.Millisecond}},
+		{"whole bodies at a slow server", pressingClient{request: book(slowKey, "", 60<<10)}},
+		{"large answers that nobody reads", pressingClient{request: read(largeKey, ""), ignoresAll: true, idles: true}},
+		{"large answers, one behind the other", pressingClient{request: read(largeKey, "")}},
+		{"pipelined requests behind a slow one", pressingClient{request: read(slowKey, ""), pipelined: 100}},
+		{"connections that stay idle", pressingClient{request: read("k", ""), idles: true}},
+		{"silent connections", pressingClient{request: literal("G"), stopsAfter: 1}},
+	}
+}
+
+// TestPressingClientsStayWithinTheMemoryLimit guards against a process that passes its memory limit, and against usual
+// clients that are late or refused, while more clients than the node accepts make it hold memory and one client sends
+// at full speed.
+func TestPressingClientsStayWithinTheMemoryLimit(t *testing.T) {
+	limits, duration := []nodeLimits{{32, 1024}}, 2*time.Second
+	if isFullPressure() {
+		limits = []nodeLimits{{32, 1024}, {32, 256}, {64, 1024}, {64, 256}, {192, 1024}, {192, 256}}
+		duration = 8 * time.Second
+	}
+	for _, limit := range limits {
+		for _, shape := range memoryShapes() {
+			t.Run(fmt.Sprintf("%d MB, %d sockets, %s", limit.memoryMB, limit.sockets, shape.name), func(t *testing.T) {
+				pressNode(t, limit, shape.client, duration)
+			})
+		}
+	}
+}
+
+// pressNode runs clients against a node with the given limits, beside one client at full speed, and checks the memory
+// of the node and the answers to its usual clients.
+func pressNode(t *testing.T, limits nodeLimits, client pressingClient, duration time.Duration) {
+	node := startPressedNode(t, limits, isFullPressure())
+	defer startPressingClients(limits.sockets*6/10, client, node.addr)()
+	fullSpeed := pressingClient{request: literal(strings.Repeat("GET /up HTTP/1.1\r\nHost: api\r\n\r\n", 100)), pipelined: 1}
+	defer startPressingClients(1, fullSpeed, node.addr)()
+	time.Sleep(pressureWarmUp)
+	node.sendUsualLoad(duration).requireServed(t, minServedWithACore)
+	node.requirePeakMemory(t, limits.memoryMB)
+}
