node: count the memory of clients' messages before it is taken

What callers saw: a process passed its memory limit while hundreds of clients sent heads of many short fields, wrote slowly or stopped half way; usual clients were answered late or refused.

Cause: only bodies over 4 KiB were counted, and only while their handler ran. A parsed head takes up to twenty times its text and nothing counted it; nor pipelined data, nor answers of servers, nor a body whose client had left while the loop or an attempt still used it. The limit of the collector lay under what was live, so collecting took the core. Messages that came slowly kept their connection and memory for 2 s, and counted as open requests, for which others were refused.

Change: package budget has one budget for heads, bodies, pipelined data and answers, an eighth of the memory in the settings. A reservation belongs to a message; the connection, the loop and each attempt hold it, and its bytes return with the last of them. The reader of a client's connection counts a head by text and fields as it passes it on, and ends a head that has to be refused, so that the handler words the refusal (503; 431 for over 256 fields). A message waits for memory for 0.1 s, behind as much as the budget at most. While some wait, or over the limit of connections, messages that are arriving for 50 or 250 ms are refused, the oldest first. The number of client connections follows the memory too. A body is written to a server without a copy, and the runtime's limit leaves room for the program's code.

TestLargeBodiesShareAByteBudget uses larger bodies, as 8 KiB of a message belong to the cost of its connection; what it checks is the same.

--- a/internal/node/client_input.go
+++ b/internal/node/client_input.go
@@ -4,10 +4,16 @@
 	"bytes"
 	"net/http"
 	"sync"
+
+	"otterstep/internal/budget"
 )
 
-// maxPipelinedBytes is how much the node keeps of what a client sends after an open request.
-const maxPipelinedBytes = 8 << 10
+const (
+	// maxPipelinedBytes is how much the node keeps of what a client sends after an open request.
+	maxPipelinedBytes = 64 << 10
+	// firstPipelinedBytes is the memory for pipelined data that belongs to the fixed cost of its connection.
+	firstPipelinedBytes = 1 << 10
+)
 
 // maxMethodBytes is the length of the longest method that the node takes for one.
 const maxMethodBytes = 32
@@ -17,9 +23,20 @@
 // It is safe for concurrent use.
 type clientInput struct {
 	mu         sync.Mutex
-	pipelined  []byte // data after the part of a message that is handed out
-	bodyLeft   int64  // bytes of the present body that have not been handed out
-	lineLength int    // bytes of the present line of the head, without line breaks
+	pipelined  []byte              // data after the part of a message that is handed out
+	memory     *budget.Reservation // memory of pipelined; nil while there is none
+	bodyLeft   int64               // bytes of the present body that have not been handed out
+	lineLength int                 // bytes of the present line of the head, without line breaks
+	headLines  int                 // lines of the present head that were handed out
+	headEnded  bool                // the present head was handed out whole
+}
+
+// messagePart is a part of a message that is handed to net/http.
+type messagePart struct {
+	bytes    int
+	isHead   bool // the part belongs to a head; false: to a body
+	fields   int  // lines of the head that end in the part
+	endsHead bool // the head ends with the part
 }
 
 // expectBody makes the next bytes count as a body of a length.
@@ -29,64 +46,127 @@
 	in.bodyLeft = length
 }
 
-// take moves pipelined data into b, up to the end of a head or body, and returns the number of bytes.
-func (in *clientInput) take(b []byte) int {
+// take moves pipelined data into b, up to the end of a head or body.
+func (in *clientInput) take(b []byte) messagePart {
 	in.mu.Lock()
 	defer in.mu.Unlock()
-	n := in.advance(b[:copy(b, in.pipelined)])
-	if in.pipelined = in.pipelined[n:]; len(in.pipelined) == 0 {
-		in.pipelined = nil
+	part := in.advance(b[:copy(b, in.pipelined)])
+	if in.pipelined = in.pipelined[part.bytes:]; len(in.pipelined) == 0 {
+		in.dropLocked()
 	}
-	return n
+	return part
 }
 
-// cut returns the number of bytes of newly read data up to the end of a head or body, and keeps the rest.
-// There must be no pipelined data.
-func (in *clientInput) cut(data []byte) int {
+// drop forgets the pipelined data and returns its memory.
+func (in *clientInput) drop() {
 	in.mu.Lock()
 	defer in.mu.Unlock()
-	n := in.advance(data)
-	if n < len(data) {
-		in.pipelined = bytes.Clone(data[n:])
+	in.dropLocked()
+}
+
+// dropLocked is drop for callers that hold the lock.
+func (in *clientInput) dropLocked() {
+	in.pipelined = nil
+	if in.memory != nil {
+		in.memory.Release()
+		in.memory = nil
 	}
-	return n
 }
 
-// advance follows the present message through data, and returns the number of bytes up to the end of its
-// head or body. The caller holds the lock.
-func (in *clientInput) advance(data []byte) int {
+// cut returns the part of newly read data up to the end of a head or body, and keeps the rest, which net/http's buffer
+// bounds. There must be no pipelined data.
+func (in *clientInput) cut(data []byte, memory *budget.Budget) messagePart {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	part := in.advance(data)
+	if rest := data[part.bytes:]; len(rest) > 0 {
+		in.pipelined = bytes.Clone(rest)
+		in.memory = memory.NewReservation(firstPipelinedBytes)
+		in.memory.ForceGrow(int64(cap(in.pipelined)))
+	}
+	return part
+}
+
+// isHeadEnded reports whether the latest head was handed out whole.
+func (in *clientInput) isHeadEnded() bool {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	return in.headEnded
+}
+
+// endHead makes the present head count as handed out whole.
+func (in *clientInput) endHead() {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	in.headEnded = true
+}
+
+// advance follows the present message through data up to the end of its head or body. The caller holds the lock.
+func (in *clientInput) advance(data []byte) messagePart {
 	if in.bodyLeft > 0 {
 		n := min(int64(len(data)), in.bodyLeft)
 		in.bodyLeft -= n
-		return int(n)
+		return messagePart{bytes: int(n)}
 	}
+	if len(data) > 0 && in.headEnded {
+		in.headEnded, in.headLines = false, 0
+	}
+	part := messagePart{isHead: true, bytes: len(data)}
 	for i, b := range data {
 		switch b {
 		case '\r':
 		case '\n':
 			isBlank := in.lineLength == 0
-			if in.lineLength = 0; isBlank {
-				return i + 1
+			in.lineLength = 0
+			if isBlank {
+				in.headEnded = in.headLines > 0 // empty lines may stand before a head
+				part.bytes, part.endsHead = i+1, in.headEnded
+				return part
 			}
+			in.headLines++
+			part.fields++
 		default:
 			in.lineLength++
 		}
 	}
-	return len(data)
+	return part
 }
 
 // keep appends data that has arrived while a request is open. It returns false, and keeps nothing, if
-// that is over maxPipelinedBytes.
-func (in *clientInput) keep(data []byte) bool {
+// that is over maxPipelinedBytes or there is no memory for it.
+func (in *clientInput) keep(data []byte, memory *budget.Budget) bool {
 	in.mu.Lock()
 	defer in.mu.Unlock()
-	if len(in.pipelined)+len(data) > maxPipelinedBytes {
+	if len(data) == 0 {
+		return true
+	}
+	needed := len(in.pipelined) + len(data)
+	if needed > maxPipelinedBytes {
+		return false
+	}
+	if needed > cap(in.pipelined) && !in.enlarge(needed, memory) {
 		return false
 	}
 	in.pipelined = append(in.pipelined, data...)
 	return true
 }
 
+// enlarge makes room for pipelined data, and returns false if there is no memory for it. The caller holds the lock.
+func (in *clientInput) enlarge(needed int, memory *budget.Budget) bool {
+	size := firstPipelinedBytes
+	for size < needed {
+		size *= 2
+	}
+	if in.memory == nil {
+		in.memory = memory.NewReservation(firstPipelinedBytes)
+	}
+	if !in.memory.TryGrow(int64(size-cap(in.pipelined)), budget.Intake) {
+		return false
+	}
+	in.pipelined = append(make([]byte, 0, size), in.pipelined...)
+	return true
+}
+
 // mayBeRequest reports whether the pipelined data can be the beginning of a request, as far as it is there.
 func (in *clientInput) mayBeRequest() bool {
 	in.mu.Lock()
@@ -125,6 +205,6 @@
 // beginning of another one. The body of the request is then longer than its length says, or the client
 // sends what can't be read.
 func isFollowedByNoRequest(r *http.Request) bool {
-	c, ok := r.Context().Value(clientConnKey{}).(*clientConn)
-	return ok && !c.input.mayBeRequest()
+	c := connOf(r)
+	return c != nil && !c.input.mayBeRequest()
 }
--- /dev/null
+++ b/internal/node/client_memory.go
@@ -0,0 +1,137 @@
+package node
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"otterstep/internal/budget"
+	"otterstep/policy"
+)
+
+const (
+	// freeMessageBytes is the part of a message that belongs to the fixed cost of its connection.
+	freeMessageBytes = 8 << 10
+	// parsedFieldBytes is what one field of a head takes once it is parsed, beyond its text.
+	parsedFieldBytes = 128
+	// maxHeadFields is the number of fields that a head may have.
+	maxHeadFields = 256
+	// maxMemoryWait is how long a message waits for memory before it is refused.
+	maxMemoryWait = 100 * time.Millisecond
+)
+
+// refusal is why a message is refused before it has been received. Its request was not forwarded.
+type refusal struct {
+	code   int    // status code of the answer
+	reason string // reason for the log, and text of an answer that is no refusal in the policy's sense
+}
+
+// The refusals of messages.
+var (
+	refusedTooManyFields = &refusal{http.StatusRequestHeaderFieldsTooLarge, "too many fields"}
+	refusedNoMemory      = &refusal{http.StatusServiceUnavailable, "no memory for the message"}
+	refusedSlowForMemory = &refusal{http.StatusServiceUnavailable, "the message came slowly, and others need its memory"}
+	refusedSlowForRoom   = &refusal{http.StatusServiceUnavailable, "the message came slowly, and others need its connection"}
+)
+
+// refusalOf returns why the message of a request is refused, or nil.
+func refusalOf(r *http.Request) *refusal {
+	if c := connOf(r); c != nil {
+		return c.refusal.Load()
+	}
+	return nil
+}
+
+// The texts that end a head whose message is refused. A head of which nothing was handed out yet is replaced.
+const (
+	replacedHead = "GET / HTTP/1.1\r\nHost: refused\r\n\r\n"
+	endOfHead    = "\r\n\r\n"
+)
+
+// endHead ends the head of a message that is refused, so that net/http calls the handler. Reading a body or another
+// head after that fails.
+func (c *clientConn) endHead(b []byte) (int, error) {
+	if c.input.isHeadEnded() {
+		return 0, context.DeadlineExceeded
+	}
+	c.input.endHead()
+	if c.headBytes == 0 {
+		return copy(b, replacedHead), nil
+	}
+	return copy(b, endOfHead), nil
+}
+
+// countHead counts a part of a head before net/http parses it. It refuses the message if it has too many fields or
+// takes memory that is not there.
+func (c *clientConn) countHead(part messagePart) {
+	if c.message.Load() == nil {
+		c.message.Store(c.owner.memory.NewReservation(freeMessageBytes))
+		c.headFields, c.headBytes = 0, 0
+	}
+	c.owner.headReceived(c, part.endsHead)
+	c.headFields += part.fields
+	if c.headFields > maxHeadFields {
+		c.refuse(refusedTooManyFields)
+		return
+	}
+	if !c.growMessage(int64(part.bytes + part.fields*parsedFieldBytes)) {
+		c.refuse(refusedNoMemory)
+		return
+	}
+	if c.refusal.Load() == nil {
+		c.headBytes += part.bytes
+	}
+}
+
+// growMessage counts memory of the present message, and waits for it. It returns false if the memory is not there in
+// time.
+func (c *clientConn) growMessage(bytes int64) bool {
+	return growMessage(c.message.Load(), bytes)
+}
+
+// growMessage counts memory of a message, and waits for it. It returns false if the memory is not there in time.
+func growMessage(message *budget.Reservation, bytes int64) bool {
+	if message.TryGrow(bytes, budget.Intake) {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), maxMemoryWait)
+	defer cancel()
+	return message.Grow(ctx, bytes, budget.Intake) == nil
+}
+
+// refuse marks the present message as refused, unless it is already.
+func (c *clientConn) refuse(why *refusal) { c.refusal.CompareAndSwap(nil, why) }
+
+// releaseMessage ends the use of the present message's memory by the connection.
+func (c *clientConn) releaseMessage() {
+	if message := c.message.Swap(nil); message != nil {
+		message.Release()
+	}
+}
+
+// messageOf returns the memory of a request's message with one more holder, who has to release it.
+func (f *front) messageOf(r *http.Request) *budget.Reservation {
+	if c := connOf(r); c != nil {
+		if message := c.message.Load(); message != nil {
+			message.Hold()
+			return message
+		}
+	}
+	return f.clients.memory.NewReservation(freeMessageBytes)
+}
+
+// refuseMessage answers a message that is refused. The connection of one that came slowly closes at once: net/http
+// would keep it, and its memory, for another half second.
+func (f *front) refuseMessage(w http.ResponseWriter, why *refusal) {
+	f.clients.log.Debug("message refused", "code", why.code, "reason", why.reason)
+	w.Header().Set("Connection", "close")
+	if why.code != http.StatusServiceUnavailable {
+		http.Error(w, why.reason, why.code)
+	} else {
+		writeAnswer(w, finalAnswer{kind: answerRefused, retryAfter: f.settings.Policy.Limits.MaxRetryAfter, reason: policy.Overload.String()})
+	}
+	if why == refusedSlowForMemory || why == refusedSlowForRoom {
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	}
+}
--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -3,17 +3,15 @@
 import (
 	"container/list"
 	"context"
-	"errors"
-	"io"
 	"log/slog"
 	"net"
 	"net/http"
-	"os"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"golang.org/x/net/netutil"
+
+	"otterstep/internal/budget"
 )
 
 const (
@@ -24,6 +22,11 @@
 	// minSilenceBeforeEviction is the time for which a new connection must be without a whole request
 	// head before it may be evicted. Clients that want an answer send their first head within 2 ms.
 	minSilenceBeforeEviction = 50 * time.Millisecond
+	// minReceiveTimeForRoom is the time for which a message must have been arriving before it may be refused to make room
+	// for other connections.
+	minReceiveTimeForRoom = 250 * time.Millisecond
+	// minReceiveTimeForMemory is the same for a message that is refused for its memory.
+	minReceiveTimeForMemory = 50 * time.Millisecond
 	// evictionInterval is the time between two checks for connections to evict.
 	evictionInterval = 25 * time.Millisecond
 )
@@ -32,43 +35,30 @@
 // that the node does not accept waits in the kernel's queue, where its request counts as received and
 // is never answered. Therefore the node sheds connections in steps:
 //   - If few file descriptors are left, each answer closes its connection.
-//   - Over maxConns connections, it evicts those that have sent no whole request head yet, and then
-//     those that have been idle longest.
+//   - Over maxConns connections, it evicts those that have sent nothing yet, then refuses those whose requests
+//     arrive slowly, and then evicts those that have been idle longest.
 //   - If open requests alone take up more than maxConns connections, further requests are refused at
 //     once.
 //   - More than maxConns+headroom connections are never accepted.
 type clientConns struct {
 	maxConns, headroom int
+	memory             *budget.Budget // memory for messages
 	log                *slog.Logger
 
 	mu           sync.Mutex
 	conns        map[*clientConn]struct{}
-	awaitingHead list.List // *clientConn without a whole request head yet, the oldest first
+	awaitingHead list.List // *clientConn that have sent nothing yet, the oldest first
 	idleConns    list.List // idle *clientConn, the longest idle first
+	readingHead  list.List // *clientConn that have sent a part of a head, the oldest first
+	readingBody  list.List // *clientConn whose requests lack a part of their body, the oldest first
 	evictedCount int       // number of connections that are evicted and not closed yet
 }
 
-// clientConn is a client's connection. If the node closed one between two requests, the next request
-// could already have reached the node's machine, and would get no answer. Therefore eviction does not
-// close a connection: it ends the wait for data, and data that has arrived by then undoes the eviction.
-type clientConn struct {
-	net.Conn
-	owner       *clientConns
-	list        *list.List    // list that holds the connection: awaitingHead, idleConns, or nil while a request is open
-	element     *list.Element // the connection's element of the list
-	listedSince time.Time     // time at which the connection entered the list
-	isEvicted   bool          // the connection is about to close, unless data has arrived by then
-
-	input clientInput
-	// pipelineOverflowed is set once the client has sent more than maxPipelinedBytes. The rest is lost, so
-	// the connection must close.
-	pipelineOverflowed atomic.Bool
-}
-
-// newClientConns returns a clientConns that uses no more than the given number of file descriptors.
-func newClientConns(descriptors int) *clientConns {
+// newClientConns returns a clientConns that uses no more than the given number of file descriptors, and the given
+// memory for messages.
+func newClientConns(descriptors int, memory *budget.Budget) *clientConns {
 	headroom := descriptors / 8
-	return &clientConns{maxConns: descriptors - headroom, headroom: headroom,
+	return &clientConns{maxConns: descriptors - headroom, headroom: headroom, memory: memory,
 		log: slog.New(slog.DiscardHandler), conns: map[*clientConn]struct{}{}}
 }
 
@@ -92,103 +82,6 @@
 	return &clientConn{Conn: conn, owner: l.owner}, nil
 }
 
-// clientConnKey is the key of a connection in the contexts of its requests.
-type clientConnKey struct{}
-
-// connContext adds a connection to the context of its requests. It is the ConnContext of the
-// http.Server.
-func (cc *clientConns) connContext(ctx context.Context, conn net.Conn) context.Context {
-	return context.WithValue(ctx, clientConnKey{}, conn)
-}
-
-// pipelinedTooMuch reports whether the connection of a request can't be read any further because the
-// client has sent more pipelined data than the node keeps.
-func pipelinedTooMuch(r *http.Request) bool {
-	c, ok := r.Context().Value(clientConnKey{}).(*clientConn)
-	return ok && c.pipelineOverflowed.Load()
-}
-
-// pastDeadline is a deadline that ends a read at once.
-var pastDeadline = time.Unix(1, 0)
-
-// Read implements net.Conn. When the wait for a request ends, by eviction or by net/http's time limit
-// for idle connections, it reads once more: on a node that gets little CPU, a request may have arrived
-// between that limit and this call.
-//
-// While a request is open, net/http detects a disconnect by a read of one byte, and stops looking once
-// a byte has arrived. It would miss the disconnect of a client that sends more before it has its
-// answer. Therefore Read keeps what arrives then as pipelined data, and continues to wait for the close.
-func (c *clientConn) Read(b []byte) (int, error) {
-	if len(b) == 1 && !c.isWaiting() {
-		return 0, c.awaitClose()
-	}
-	if n := c.input.take(b); n > 0 {
-		c.undoEviction()
-		return n, nil
-	}
-	if c.pipelineOverflowed.Load() {
-		return 0, io.EOF
-	}
-	n, err := c.Conn.Read(b)
-	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.isWaiting() {
-		c.Conn.SetReadDeadline(time.Now().Add(time.Millisecond))
-		n, err = c.Conn.Read(b)
-	}
-	if n > 0 {
-		c.undoEviction()
-		n = c.input.cut(b[:n])
-	}
-	return n, err
-}
-
-// awaitClose keeps what arrives as pipelined data until the client closes the connection or net/http
-// ends the wait.
-func (c *clientConn) awaitClose() error {
-	var b [512]byte
-	for {
-		n, err := c.Conn.Read(b[:])
-		if !c.pipelineOverflowed.Load() && !c.input.keep(b[:n]) {
-			c.pipelineOverflowed.Store(true)
-		}
-		if err != nil {
-			return err
-		}
-	}
-}
-
-// SetReadDeadline implements net.Conn for net/http. It does not undo an eviction.
-func (c *clientConn) SetReadDeadline(at time.Time) error {
-	c.owner.mu.Lock()
-	defer c.owner.mu.Unlock()
-	if c.isEvicted {
-		at = pastDeadline
-	}
-	return c.Conn.SetReadDeadline(at)
-}
-
-// isWaiting reports whether the connection has no open request.
-func (c *clientConn) isWaiting() bool {
-	c.owner.mu.Lock()
-	defer c.owner.mu.Unlock()
-	return c.list != nil || c.isEvicted
-}
-
-// undoEviction keeps an evicted connection.
-func (c *clientConn) undoEviction() {
-	c.owner.mu.Lock()
-	defer c.owner.mu.Unlock()
-	c.undoEvictionLocked()
-}
-
-// undoEvictionLocked is undoEviction for callers that hold the lock.
-func (c *clientConn) undoEvictionLocked() {
-	if c.isEvicted {
-		c.isEvicted = false
-		c.owner.evictedCount--
-		c.Conn.SetReadDeadline(time.Now().Add(readTimeout))
-	}
-}
-
 // onConnState follows the state of a connection. It is the ConnState callback of the http.Server.
 func (cc *clientConns) onConnState(conn net.Conn, state http.ConnState) {
 	cc.mu.Lock()
@@ -202,8 +95,11 @@
 	case http.StateActive:
 		c.undoEvictionLocked() // net/http read the request before the eviction and reports it only now
 	case http.StateIdle:
+		c.releaseMessage()
 		c.moveTo(&cc.idleConns)
 	case http.StateClosed, http.StateHijacked:
+		c.releaseMessage()
+		c.input.drop()
 		delete(cc.conns, c)
 		if c.isEvicted {
 			c.isEvicted = false
@@ -213,13 +109,27 @@
 	cc.evictExcess()
 }
 
-// moveTo moves a connection to another list, or to none if to is nil. The caller holds the lock.
-func (c *clientConn) moveTo(to *list.List) {
-	if c.list != nil {
-		c.list.Remove(c.element)
+// headReceived follows the arrival of a head. Its connection waits for the rest of it, or has an open request.
+func (cc *clientConns) headReceived(c *clientConn, isWhole bool) {
+	cc.mu.Lock()
+	defer cc.mu.Unlock()
+	switch {
+	case isWhole:
+		c.moveTo(nil)
+	case c.list != &cc.readingHead:
+		c.moveTo(&cc.readingHead)
 	}
-	if c.list = to; to != nil {
-		c.element, c.listedSince = to.PushBack(c), time.Now()
+}
+
+// bodyExpected records that the connection of a request waits for its body, until the returned function is called.
+func (cc *clientConns) bodyExpected(c *clientConn) (received func()) {
+	cc.mu.Lock()
+	defer cc.mu.Unlock()
+	c.moveTo(&cc.readingBody)
+	return func() {
+		cc.mu.Lock()
+		defer cc.mu.Unlock()
+		c.moveTo(nil)
 	}
 }
 
@@ -229,6 +139,7 @@
 	for ticks := time.Tick(evictionInterval); ctx.Err() == nil; <-ticks {
 		cc.mu.Lock()
 		cc.evictExcess()
+		cc.refuseForMemory()
 		cc.mu.Unlock()
 	}
 }
@@ -240,19 +151,15 @@
 // lock.
 func (cc *clientConns) evictExcess() {
 	for cc.remainingCount() > cc.maxConns && (cc.evictOldest(&cc.awaitingHead, minSilenceBeforeEviction) ||
-		cc.evictOldest(&cc.idleConns, minIdleBeforeEviction)) {
+		cc.refuseSlowest() || cc.evictOldest(&cc.idleConns, minIdleBeforeEviction)) {
 	}
 }
 
 // evictOldest evicts the oldest connection of a list if it has been there for minAge. It reports
 // whether it did. The caller holds the lock.
 func (cc *clientConns) evictOldest(from *list.List, minAge time.Duration) bool {
-	oldest := from.Front()
-	if oldest == nil {
-		return false
-	}
-	c := oldest.Value.(*clientConn)
-	if time.Since(c.listedSince) < minAge {
+	c := oldestOf(from)
+	if c == nil || time.Since(c.listedSince) < minAge {
 		return false
 	}
 	c.evict()
@@ -261,6 +168,62 @@
 	return true
 }
 
+// oldestOf returns the connection that has been in a list for longest, or nil. The caller holds the lock.
+func oldestOf(conns *list.List) *clientConn {
+	if oldest := conns.Front(); oldest != nil {
+		return oldest.Value.(*clientConn)
+	}
+	return nil
+}
+
+// slowest returns the connection whose message has been arriving for longest, or nil if none has for minAge. The caller
+// holds the lock.
+func (cc *clientConns) slowest(minAge time.Duration) *clientConn {
+	slowest := oldestOf(&cc.readingHead)
+	if c := oldestOf(&cc.readingBody); slowest == nil || c != nil && c.listedSince.Before(slowest.listedSince) {
+		slowest = c
+	}
+	if slowest == nil || time.Since(slowest.listedSince) < minAge {
+		return nil
+	}
+	return slowest
+}
+
+// refuseSlowest refuses the message that has been arriving for longest, and reports whether there is one that came too
+// slowly. The caller holds the lock.
+func (cc *clientConns) refuseSlowest() bool {
+	c := cc.slowest(minReceiveTimeForRoom)
+	if c == nil {
+		return false
+	}
+	c.refuseSlow(refusedSlowForRoom)
+	return true
+}
+
+// refuseForMemory refuses messages that came slowly until the memory for which others wait is there. The caller holds
+// the lock.
+func (cc *clientConns) refuseForMemory() {
+	wanted := cc.memory.Wanted(budget.Intake) + cc.memory.Wanted(budget.Answer)
+	for wanted > 0 {
+		c := cc.slowest(minReceiveTimeForMemory)
+		if c == nil {
+			return
+		}
+		if message := c.message.Load(); message != nil {
+			wanted -= message.Counted()
+		}
+		c.refuseSlow(refusedSlowForMemory)
+	}
+}
+
+// refuseSlow refuses a message that is arriving, and ends the wait for the rest of it. The caller holds the lock.
+func (c *clientConn) refuseSlow(why *refusal) {
+	c.moveTo(nil)
+	c.refuse(why)
+	c.Conn.SetReadDeadline(pastDeadline)
+	c.owner.log.Debug("client's message refused", "client", c.RemoteAddr().String(), "reason", why.reason)
+}
+
 // evict ends the connection's wait for data, so that net/http closes it unless data has arrived. The
 // caller holds the lock.
 func (c *clientConn) evict() {
@@ -275,7 +238,7 @@
 func (cc *clientConns) evictAllWaiting() {
 	cc.mu.Lock()
 	defer cc.mu.Unlock()
-	for _, conns := range []*list.List{&cc.awaitingHead, &cc.idleConns} {
+	for _, conns := range []*list.List{&cc.awaitingHead, &cc.idleConns, &cc.readingHead} {
 		for conns.Len() > 0 {
 			conns.Front().Value.(*clientConn).evict()
 		}
@@ -286,7 +249,8 @@
 func (cc *clientConns) isFull() bool {
 	cc.mu.Lock()
 	defer cc.mu.Unlock()
-	return cc.remainingCount()-cc.awaitingHead.Len()-cc.idleConns.Len() > cc.maxConns
+	waiting := cc.awaitingHead.Len() + cc.idleConns.Len() + cc.readingHead.Len() + cc.readingBody.Len()
+	return cc.remainingCount()-waiting > cc.maxConns
 }
 
 // isEmpty reports whether no client is connected.
--- a/internal/node/clients_test.go
+++ b/internal/node/clients_test.go
@@ -14,6 +14,7 @@
 	"testing"
 	"time"
 
+	"otterstep/internal/budget"
 	"otterstep/internal/wire"
 	"otterstep/policy"
 )
@@ -211,7 +212,7 @@
 // Guards against requests that are lost when a connection is evicted for a new one: a recently used
 // connection is not evicted, and a request that has arrived by then is read.
 func TestReceivedDataUndoesAnEviction(t *testing.T) {
-	group := newClientConns(1)
+	group := newClientConns(1, budget.New(1<<20))
 	add := func() (*clientConn, net.Conn) {
 		ours, theirs := net.Pipe()
 		t.Cleanup(func() { ours.Close(); theirs.Close() })
@@ -257,7 +258,7 @@
 // Guards against requests that are lost at the end of a drain: idle connections are evicted, but one on
 // which a request has arrived by then is kept until the request is answered.
 func TestReceivedDataUndoesAnEvictionByDrain(t *testing.T) {
-	group := newClientConns(8)
+	group := newClientConns(8, budget.New(1<<20))
 	var conns [2]*clientConn
 	var peers [2]net.Conn
 	for i := range conns {
@@ -291,13 +292,13 @@
 	l.post(func() {
 		l.applyNewerUpdate(policy.ListWhole, []policy.Entry{{Server: 1, State: policy.StateInService}}, []string{s.addr})
 	})
-	group := newClientConns(8)
+	group := newClientConns(8, budget.New(1<<20))
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	server := http.Server{
-		Handler:     newFront(l, settings, group, 1<<20, func() bool { return true }),
+		Handler:     newFront(l, settings, group, func() bool { return true }),
 		ReadTimeout: testTimeout, ConnContext: group.connContext,
 		ConnState: func(c net.Conn, s http.ConnState) { state(group, c, s) },
 	}
@@ -475,29 +476,31 @@
 // Guards against bodies that take too much memory together: the node counts their declared lengths
 // before it reads them.
 func TestLargeBodiesShareAByteBudget(t *testing.T) {
-	f := newFront(&loop{clock: newClock()}, wire.NodeSettings{ClassNames: []string{"book"}}, newClientConns(8), 10<<10,
+	memory := budget.New(100 << 10)
+	f := newFront(&loop{clock: newClock()}, wire.NodeSettings{ClassNames: []string{"book"}}, newClientConns(8, memory),
 		func() bool { return true })
 	f.settings.Policy.Classes = parseTestNodeSettings(t, testSettings).Policy.Classes[2:]
 	ask := func() (code int, read int64) {
 		body := &countingReader{}
 		r := newClientRequest(t, "api", "book", "2.5")
-		r.RequestURI, r.Body, r.ContentLength = "/book/1", body, 6<<10
+		r.RequestURI, r.Body, r.ContentLength = "/book/1", body, 60<<10
 		r.URL.Path, r.URL.RawPath = "/book/1", ""
 		w := httptest.NewRecorder()
 		f.ServeHTTP(w, r)
 		return w.Code, body.n
 	}
-	if !f.bodyBudget.reserve(6 << 10) {
+	other := memory.NewReservation(0)
+	if !other.TryGrow(60<<10, budget.Intake) {
 		t.Fatal("the budget is too small for one body")
 	}
 	if code, read := ask(); code != http.StatusServiceUnavailable || read != 0 {
 		t.Errorf("answered %d after %d bytes, want a refusal without reading the body", code, read)
 	}
-	f.bodyBudget.release(6 << 10)
+	other.Release()
 	if code, read := ask(); code != http.StatusRequestTimeout || read == 0 {
 		t.Errorf("answered %d after %d bytes, want the short body to be read", code, read)
 	}
-	if n := f.bodyBudget.used.Load(); n != 0 {
+	if n := memory.Used(); n != 0 {
 		t.Errorf("%d bytes are still reserved", n)
 	}
 }
--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -25,34 +25,11 @@
 	classIndex  map[string]int
 	tenantIndex map[string]int
 	draining    atomic.Bool // the node drains, so each answer closes its connection
-	bodyBudget  byteBudget  // memory for request bodies of more than smallBodyBytes
 }
 
-// smallBodyBytes is the size up to which a body is not counted in the budget, because it fits into
-// the memory that each connection takes anyway.
-const smallBodyBytes = 4 << 10
-
-// byteBudget bounds a sum of bytes. It is safe for concurrent use.
-type byteBudget struct {
-	limit int64
-	used  atomic.Int64
-}
-
-// reserve takes n bytes from the budget. It returns false, and takes nothing, if there are not so many.
-func (b *byteBudget) reserve(n int64) bool {
-	if b.used.Add(n) > b.limit {
-		b.used.Add(-n)
-		return false
-	}
-	return true
-}
-
-// release gives n bytes back to the budget.
-func (b *byteBudget) release(n int64) { b.used.Add(-n) }
-
-func newFront(l *loop, settings wire.NodeSettings, clients *clientConns, bodyBudgetBytes int64, isReady func() bool) *front {
+func newFront(l *loop, settings wire.NodeSettings, clients *clientConns, isReady func() bool) *front {
 	f := &front{
-		loop: l, settings: settings, clients: clients, isReady: isReady, bodyBudget: byteBudget{limit: bodyBudgetBytes},
+		loop: l, settings: settings, clients: clients, isReady: isReady,
 		classIndex: map[string]int{}, tenantIndex: map[string]int{},
 	}
 	for i, name := range settings.ClassNames {
@@ -85,6 +62,10 @@
 func (f *front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	receivedAt := f.loop.clock.now()
 	overLimit := f.clients.isFull()
+	if why := refusalOf(r); why != nil {
+		f.refuseMessage(w, why)
+		return
+	}
 	if r.URL.Path == "/up" {
 		f.close(w, r)
 		if !f.isReady() {
@@ -98,20 +79,23 @@
 		return
 	}
 	policyRequest, outgoing, err := f.parseRequest(r, receivedAt)
-	if err == nil && r.ContentLength > smallBodyBytes {
-		if !f.bodyBudget.reserve(r.ContentLength) {
-			overLimit = true
-		} else {
-			defer f.bodyBudget.release(r.ContentLength)
-		}
-	}
 	if err == nil && overLimit { // no attempt has been made, so a refusal may promise that a retry does no harm
 		w.Header().Set("Connection", "close")
 		writeAnswer(w, finalAnswer{kind: answerRefused, retryAfter: f.settings.Policy.Limits.MaxRetryAfter})
 		return
 	}
 	if err == nil {
-		outgoing.body, err = readRequestBody(r)
+		outgoing.memory = f.messageOf(r)
+		defer outgoing.memory.Release()
+		if !growMessage(outgoing.memory, r.ContentLength) {
+			f.refuseMessage(w, refusedNoMemory)
+			return
+		}
+		outgoing.body, err = f.readRequestBody(r)
+	}
+	if why := refusalOf(r); why != nil {
+		f.refuseMessage(w, why)
+		return
 	}
 	if err == nil && isFollowedByNoRequest(r) {
 		err = errNoRequestAfterBody
@@ -126,7 +110,9 @@
 
 	answers := make(chan finalAnswer, 1)
 	var submitted *request
+	outgoing.hold() // for the loop
 	if !f.loop.post(func() { submitted = f.loop.submit(policyRequest, outgoing, answers) }) {
+		outgoing.release()
 		http.Error(w, "shutting down", http.StatusServiceUnavailable)
 		return
 	}
@@ -269,9 +255,13 @@
 }
 
 // readRequestBody reads a body whose declared length has been checked.
-func readRequestBody(r *http.Request) ([]byte, error) {
-	if c, ok := r.Context().Value(clientConnKey{}).(*clientConn); ok {
+func (f *front) readRequestBody(r *http.Request) ([]byte, error) {
+	if r.ContentLength == 0 {
+		return nil, nil
+	}
+	if c := connOf(r); c != nil {
 		c.input.expectBody(r.ContentLength)
+		defer f.clients.bodyExpected(c)()
 	}
 	body := make([]byte, r.ContentLength)
 	if _, err := io.ReadFull(r.Body, body); err != nil {
--- a/internal/node/gate_test.go
+++ b/internal/node/gate_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"otterstep/internal/budget"
 	"otterstep/internal/wire"
 	"otterstep/policy"
 )
@@ -99,7 +100,7 @@
 	l := newTestLoop(t)
 	l.metrics.drainViolations.Add(3)
 	scrape := func(classes ...string) string {
-		f := newFront(l, wire.NodeSettings{ClassNames: classes}, newClientConns(8), 0, func() bool { return true })
+		f := newFront(l, wire.NodeSettings{ClassNames: classes}, newClientConns(8, budget.New(1<<20)), func() bool { return true })
 		w := httptest.NewRecorder()
 		f.ServeHTTP(w, httptest.NewRequest(http.MethodGet, metricsPath, nil))
 		return w.Body.String()
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -117,8 +117,8 @@
 }
 
 // beginWrite claims the right to write the request. It returns false if the loop has abandoned the
-// attempt, the write deadline has passed or the attempt's server is being taken out of service. Every
-// attempt calls it right before the first byte of its request.
+// attempt, the write deadline has passed or the attempt's server is being taken out of
+// service. Every attempt calls it right before the first byte of its request.
 func (a *attempt) beginWrite() bool {
 	now := a.clock.now()
 	deadline := time.Duration(a.request.writeDeadline.Load())
@@ -373,9 +373,11 @@
 	}
 }
 
-// submit passes a client's request to the Balancer. It sends exactly one final answer to answers.
+// submit passes a client's request to the Balancer. It sends exactly one final
+// answer to answers. The loop holds the memory of the request from then on.
 func (l *loop) submit(policyRequest policy.Request, outgoing *upstreamRequest, answers chan<- finalAnswer) *request {
 	if !l.recentIDs.add(l.now, outgoing.header.Get("X-Correlation-Id")) {
+		outgoing.release()
 		r := &request{answers: answers}
 		l.answer(r, finalAnswer{kind: answerDuplicateID})
 		return r
@@ -527,7 +529,10 @@
 // forgetIfDone removes a request that is answered and has no attempt in flight.
 func (l *loop) forgetIfDone(r *request) {
 	if r.answered {
-		r.outgoing = nil // the heap of timers may refer to the request for a while
+		if r.outgoing != nil {
+			r.outgoing.release()
+			r.outgoing = nil // the heap of timers may refer to the request for a while
+		}
 		if r.inFlight == 0 {
 			delete(l.requests, r.id)
 		}
@@ -565,7 +570,9 @@
 		})
 	}
 	outgoing := r.outgoing
+	outgoing.hold()
 	go func() {
+		defer outgoing.release()
 		result := l.upstream.roundTrip(ctx, incarnation, outgoing, timeLeft, newAttempt)
 		endedAt := l.clock.now()
 		if !result.receivedAt.IsZero() {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -13,6 +13,7 @@
 	"sync/atomic"
 	"time"
 
+	"otterstep/internal/budget"
 	"otterstep/policy"
 )
 
@@ -51,8 +52,8 @@
 // Run serves requests until ctx ends. It then drains: it accepts connections for a while, answers all requests that
 // it has read and returns nil. At a signal of the reloader it applies the settings that can change while it runs.
 func Run(ctx context.Context, config Config, reloader ConfigReloader, log *slog.Logger) error {
-	if config.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(config.MemoryMB) << 20 * 3 / 4)
+	if memory := planMemory(config.MemoryMB); memory.runtimeBytes > 0 {
+		debug.SetMemoryLimit(memory.runtimeBytes)
 	}
 	listener, err := listenWithRetry(ctx, config.Listen, log)
 	if err != nil {
@@ -89,7 +90,9 @@
 	// another one for a server. Clients also have idle connections, and some that never send anything. So servers
 	// get slightly less than half.
 	servers := (config.Sockets - reservedSockets) * 9 / 20
-	clients := newClientConns(config.Sockets - reservedSockets - servers)
+	memory := planMemory(config.MemoryMB)
+	messageMemory := budget.New(memory.messageBytes)
+	clients := newClientConns(memory.limitClients(config.Sockets-reservedSockets-servers), messageMemory)
 	upstream := newUpstream(config.Settings.ConnIdleTimeout, config.Settings.ConnectTimeout, servers)
 	discovery := newDiscoveryClient(config.Discovery, config.Settings, clock, log)
 	loop, err := newLoop(settings, config.Seed, clock, upstream, discovery.commands)
@@ -130,11 +133,7 @@
 
 	go clients.evictPeriodically(background)
 
-	bodyBudgetBytes := int64(64 << 20)
-	if config.MemoryMB > 0 {
-		bodyBudgetBytes = int64(config.MemoryMB) << 20 / 8
-	}
-	front := newFront(loop, config.Settings, clients, bodyBudgetBytes, ready.Load)
+	front := newFront(loop, config.Settings, clients, ready.Load)
 	server := http.Server{
 		Handler: front, ReadHeaderTimeout: readTimeout, ReadTimeout: readTimeout,
 		WriteTimeout: answerWriteTimeout(settings.Classes), IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -17,6 +17,7 @@
 	"testing"
 	"time"
 
+	"otterstep/internal/budget"
 	"otterstep/internal/wire"
 	"otterstep/policy"
 )
@@ -699,7 +700,7 @@
 	l.post(func() {
 		l.applyNewerUpdate(policy.ListWhole, []policy.Entry{{Server: 1, State: policy.StateInService}}, []string{s.addr})
 	})
-	front := httptest.NewServer(newFront(l, settings, newClientConns(minSockets), 1<<20, func() bool { return true }))
+	front := httptest.NewServer(newFront(l, settings, newClientConns(minSockets, budget.New(1<<20)), func() bool { return true }))
 	t.Cleanup(func() { front.CloseClientConnections(); front.Close() })
 	codes := make(chan int, 2)
 	ask := func() {
@@ -1009,7 +1010,7 @@
 // Guards against clients that use a draining node's connections until the node cuts them off: once the
 // front drains, each answer closes its connection.
 func TestDrainingFrontClosesConnectionsAfterAnswers(t *testing.T) {
-	front := newFront(&loop{clock: newClock()}, wire.NodeSettings{}, newClientConns(8), 0, func() bool { return true })
+	front := newFront(&loop{clock: newClock()}, wire.NodeSettings{}, newClientConns(8, budget.New(1<<20)), func() bool { return true })
 	for _, draining := range []bool{false, true} {
 		front.draining.Store(draining)
 		w := httptest.NewRecorder()
--- a/internal/node/response.go
+++ b/internal/node/response.go
@@ -35,20 +35,26 @@
 	return fmt.Errorf("%w: %s", errMalformedResponse, fmt.Sprintf(format, args...))
 }
 
-// readResponse reads one response. It calls beforeHead before it waits for each head, and onHeadStart
-// when the first byte of a head has arrived.
+// responseReading holds what is called while a response is read.
+type responseReading struct {
+	beforeHead  func()                // before the wait for each head
+	onHeadStart func()                // when the first byte of a head has arrived
+	reserveBody func(bytes int) error // before memory is allocated for a body
+}
+
+// readResponse reads one response.
 //
 // It is stricter than net/http's client. That reads a response without a length up to the end of the
 // connection (here for as long as the client waits), drops a Content-Length beside a
 // Transfer-Encoding, and reads a body of any length. If two readers could see the end of a response at
 // different places, it is unclear where the next response begins.
-func readResponse(reader *bufio.Reader, beforeHead, onHeadStart func()) (serverResponse, error) {
+func readResponse(reader *bufio.Reader, reading responseReading) (serverResponse, error) {
 	for range maxInterimResponses + 1 {
-		beforeHead()
+		reading.beforeHead()
 		if _, err := reader.Peek(1); err != nil {
 			return serverResponse{}, err
 		}
-		onHeadStart()
+		reading.onHeadStart()
 		response, err := readResponseHead(reader)
 		switch {
 		case err != nil:
@@ -56,7 +62,7 @@
 		case response.statusCode == http.StatusSwitchingProtocols:
 			return serverResponse{}, malformedResponse("status 101: protocol switch")
 		case response.statusCode >= 200:
-			response.body, err = readResponseBody(reader, response.header)
+			response.body, err = readResponseBody(reader, response.header, reading.reserveBody)
 			return response, err
 		}
 	}
@@ -86,11 +92,11 @@
 }
 
 // readResponseBody reads a body that has either a Content-Length or the chunked coding.
-func readResponseBody(reader *bufio.Reader, header textproto.MIMEHeader) ([]byte, error) {
+func readResponseBody(reader *bufio.Reader, header textproto.MIMEHeader, reserve func(bytes int) error) ([]byte, error) {
 	lengths, encodings := header["Content-Length"], header["Transfer-Encoding"]
 	switch {
 	case len(encodings) == 1 && len(lengths) == 0 && strings.EqualFold(encodings[0], "chunked"):
-		body, err := io.ReadAll(io.LimitReader(httputil.NewChunkedReader(reader), maxBodyBytes+1))
+		body, err := readAll(io.LimitReader(httputil.NewChunkedReader(reader), maxBodyBytes+1), reserve)
 		if err != nil {
 			return nil, err
 		}
@@ -109,7 +115,35 @@
 	if err != nil || length > maxBodyBytes {
 		return nil, malformedResponse("Content-Length %.40q", lengths[0])
 	}
+	if err := reserve(int(length)); err != nil {
+		return nil, err
+	}
 	body := make([]byte, length)
 	_, err = io.ReadFull(reader, body)
 	return body, err
 }
+
+// firstChunkedBytes is the memory that a body of unknown length is given at first.
+const firstChunkedBytes = 4 << 10
+
+// readAll reads all of a body of unknown length. It counts memory before it allocates it.
+func readAll(reader io.Reader, reserve func(bytes int) error) ([]byte, error) {
+	var body []byte
+	for {
+		if len(body) == cap(body) {
+			added := max(firstChunkedBytes, cap(body))
+			if err := reserve(added); err != nil {
+				return nil, err
+			}
+			body = append(make([]byte, 0, cap(body)+added), body...)
+		}
+		n, err := reader.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		switch {
+		case errors.Is(err, io.EOF):
+			return body, nil
+		case err != nil:
+			return nil, err
+		}
+	}
+}
--- a/internal/node/response_end.go
+++ b/internal/node/response_end.go
@@ -64,7 +64,8 @@
 // is whole: a copy of the response, and, after a body that shows by itself that it is whole, anything
 // that can't continue it. All other data may be the rest of the body. docs/endings.md says what can't
 // be told apart.
-func (c *serverConn) confirmEnd(ctx context.Context, response *serverResponse, onReceived func() (maxWait time.Duration)) (silent bool, err error) {
+func (c *serverConn) confirmEnd(ctx context.Context, response *serverResponse, reserve reserveFunc, onReceived func() (maxWait time.Duration)) (
+	silent bool, err error) {
 	extent := bodyExtentOf(response)
 	wait := noWait
 	switch extent {
@@ -84,7 +85,7 @@
 	case extent == extentWhole:
 		return false, c.expectNoJSON()
 	}
-	return false, c.expectCopy(response)
+	return false, c.expectCopy(ctx, response, reserve)
 }
 
 // awaitData waits for data on the connection, and reports whether some has arrived. If none has, it
@@ -126,14 +127,17 @@
 
 // expectCopy returns an error unless a copy of a response follows it. Another response is no copy: it
 // may be content of the body, and which of two responses was made for the request is unclear.
-func (c *serverConn) expectCopy(response *serverResponse) error {
+func (c *serverConn) expectCopy(ctx context.Context, response *serverResponse, reserve reserveFunc) error {
 	for i := range len(httpVersionPrefix) {
 		start, err := c.reader.Peek(i + 1)
 		if err != nil || start[i] != httpVersionPrefix[i] {
 			return malformedResponse("data after the end of the body, which may belong to it")
 		}
 	}
-	second, err := readResponse(c.reader, func() {}, func() {})
+	second, err := readResponse(c.reader, responseReading{
+		beforeHead: func() {}, onHeadStart: func() {},
+		reserveBody: func(bytes int) error { return reserve(ctx, bytes) },
+	})
 	switch {
 	case err != nil:
 		return malformedResponse("data after the end of the body, not another response: %v", err)
--- a/internal/node/response_end_test.go
+++ b/internal/node/response_end_test.go
@@ -168,7 +168,7 @@
 		}
 		_, _ = io.Copy(io.Discard, server)
 	}()
-	return c.readWholeResponse(t.Context(), fixedPermit(true).responseReceived)
+	return c.readWholeResponse(t.Context(), getRequest().reserveAnswer, fixedPermit(true).responseReceived)
 }
 
 // Guards against a body that is served cut off, as if it were whole: the length that the response states is
@@ -310,7 +310,7 @@
 		}
 		defer server.Close()
 		io.WriteString(server, text)
-		response, reusable, err := c.readWholeResponse(t.Context(), fixedPermit(true).responseReceived)
+		response, reusable, err := c.readWholeResponse(t.Context(), getRequest().reserveAnswer, fixedPermit(true).responseReceived)
 		if isCopy := name == "before its copy"; isCopy != (err == nil) || reusable {
 			t.Errorf("%s: error %v, body of %d bytes, reusable %t", name, err, len(response.body), reusable)
 		}
--- a/internal/node/tenants_scale_test.go
+++ b/internal/node/tenants_scale_test.go
@@ -38,7 +38,7 @@
 				if err != nil {
 					b.Fatal(err)
 				}
-				return newFront(l, settings, nil, 0, func() bool { return true })
+				return newFront(l, settings, nil, func() bool { return true })
 			}
 			before := heapBytes()
 			f := start()
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -4,11 +4,13 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"log/slog"
 	"net/http"
 	"sync"
 	"time"
 
+	"otterstep/internal/budget"
 	"otterstep/policy"
 )
 
@@ -36,15 +38,34 @@
 	host           string
 	header         http.Header
 	body           []byte
-	clientDeadline time.Duration // time on the node's clock at which the client gives up
-	valueUntil     time.Duration // time on the node's clock up to which an answer earns its full value
+	clientDeadline time.Duration       // time on the node's clock at which the client gives up
+	valueUntil     time.Duration       // time on the node's clock up to which an answer earns its full value
+	memory         *budget.Reservation // memory of the request and of its answer; nil: not counted
 }
 
-// encode returns the whole request as bytes, so that one write sends it and shows whether its last
-// byte was sent. All values have passed net/http's checks of the client's request, so none contains a
-// line break.
-func (r *upstreamRequest) encode(timeLeft time.Duration) []byte {
-	text := make([]byte, 0, 512+len(r.body))
+// hold adds a holder of the request's memory.
+func (r *upstreamRequest) hold() {
+	if r.memory != nil {
+		r.memory.Hold()
+	}
+}
+
+// release removes a holder of the request's memory.
+func (r *upstreamRequest) release() {
+	if r.memory != nil {
+		r.memory.Release()
+	}
+}
+
+// largeBodyBytes is the size from which the rest of a body is written on its own, so that it need not be copied.
+const largeBodyBytes = 4 << 10
+
+// encode returns the request as bytes, and the rest of its body where that is large. The last write
+// shows whether the last byte was sent. All values have passed net/http's checks of the client's request, so none
+// contains a line break.
+func (r *upstreamRequest) encode(timeLeft time.Duration) (text, restOfBody []byte) {
+	inText := min(len(r.body), largeBodyBytes)
+	text = make([]byte, 0, 512+inText)
 	text = fmt.Appendf(text, "%s %s HTTP/1.1\r\nHost: %s\r\nX-Time-Left: %.3f\r\n", r.method, r.uri, r.host, timeLeft.Seconds())
 	for _, name := range forwardedHeaders {
 		for _, value := range r.header[name] {
@@ -54,7 +75,25 @@
 	if r.method != http.MethodGet {
 		text = fmt.Appendf(text, "Content-Length: %d\r\n", len(r.body))
 	}
-	return append(append(text, "\r\n"...), r.body...)
+	return append(append(text, "\r\n"...), r.body[:inText]...), r.body[inText:]
+}
+
+// writeTo writes the request to a server.
+func (r *upstreamRequest) writeTo(w io.Writer, timeLeft time.Duration) error {
+	text, restOfBody := r.encode(timeLeft)
+	_, err := w.Write(text)
+	if err == nil && len(restOfBody) > 0 {
+		_, err = w.Write(restOfBody)
+	}
+	return err
+}
+
+// reserveAnswer counts the memory of an answer to the request, and waits for it until ctx ends.
+func (r *upstreamRequest) reserveAnswer(ctx context.Context, bytes int) error {
+	if r.memory == nil {
+		return nil
+	}
+	return r.memory.Grow(ctx, int64(bytes), budget.Answer)
 }
 
 // serverIncarnation is a server at an address, from one start to the next. Connections are pooled by
@@ -133,13 +172,13 @@
 		u.releaseConn(c, unregister())
 		return attemptResult{status: policy.NotSent}
 	}
-	if _, err := c.Write(outgoing.encode(max(0, timeLeft-time.Since(startedAt)))); err != nil {
+	if err := outgoing.writeTo(c, max(0, timeLeft-time.Since(startedAt))); err != nil {
 		unregister()
 		u.releaseConn(c, false)
 		return attemptResult{status: policy.ConnectFailed}
 	}
 	control.finishWrite()
-	response, reusable, err := c.readWholeResponse(ctx, control.responseReceived)
+	response, reusable, err := c.readWholeResponse(ctx, outgoing.reserveAnswer, control.responseReceived)
 	u.releaseConn(c, unregister() && reusable)
 	if err != nil {
 		u.log.Debug("response cannot be used", "endpoint", incarnation.addr, "err", err)
@@ -148,20 +187,30 @@
 	return response.attemptResult()
 }
 
+// reserveFunc counts the memory of an answer, and waits for it until ctx ends.
+type reserveFunc func(ctx context.Context, bytes int) error
+
 // readWholeResponse reads a response and what tells that it is whole, and reports whether the
 // connection may be reused. With an error the request may have run. It calls onReceived before it waits
 // for what follows the response.
-func (c *serverConn) readWholeResponse(ctx context.Context, onReceived func() (maxWait time.Duration)) (response serverResponse, reusable bool, err error) {
+func (c *serverConn) readWholeResponse(ctx context.Context, reserve reserveFunc, onReceived func() (maxWait time.Duration)) (
+	response serverResponse, reusable bool, err error) {
 	c.limitedInput.N = maxResponseBytes
-	response, err = readResponse(c.reader,
-		func() { c.setResponseDeadline(ctx, time.Time{}) },
-		func() { c.setResponseDeadline(ctx, time.Now().Add(c.responseTimes.stall)) })
+	response, err = readResponse(c.reader, responseReading{
+		beforeHead:  func() { c.setResponseDeadline(ctx, time.Time{}) },
+		onHeadStart: func() { c.setResponseDeadline(ctx, time.Now().Add(c.responseTimes.stall)) },
+		reserveBody: func(bytes int) error {
+			err := reserve(ctx, bytes)
+			c.setResponseDeadline(ctx, time.Now().Add(c.responseTimes.stall)) // the server does not cause the wait for memory
+			return err
+		},
+	})
 	if err != nil {
 		return response, false, err
 	}
 	response.receivedAt = time.Now()
 	c.idleSince = response.receivedAt
-	silent, err := c.confirmEnd(ctx, &response, onReceived)
+	silent, err := c.confirmEnd(ctx, &response, reserve, onReceived)
 	c.setResponseDeadline(ctx, time.Time{})
 	return response, silent && !response.closesConn, err
 }
