node: yield the processor between the messages of a connection

What callers saw: while one client sent GET /up or /metrics without a pause, or some kept many requests on their way, other clients were answered late or never; health checks and calls to discovery were late as well.

Cause: a goroutine that serves a connection whose next request is there already never blocks, so it keeps the processor for a whole time slice of the scheduler (10 ms) each time. A usual request changes goroutines several times and waits for such slices at each change.

--- a/internal/node/client_conn.go
+++ b/internal/node/client_conn.go
@@ -86,6 +86,7 @@
 // for idle connections, it reads once more: on a node that gets little CPU, a request may have arrived
 // between that limit and this call.
 func (c *clientConn) receive(b []byte) (messagePart, error) {
+	yieldProcessor()
 	if part := c.input.take(b); part.bytes > 0 {
 		c.undoEviction()
 		return part, nil
@@ -120,6 +121,7 @@
 	large := largeReads.Get().(*[4 << 10]byte)
 	defer largeReads.Put(large)
 	for {
+		yieldProcessor()
 		n, err := c.Conn.Read(large[:])
 		c.keepPipelined(large[:n])
 		if err != nil {
--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -27,6 +27,9 @@
 	minReceiveTimeForRoom = 250 * time.Millisecond
 	// minReceiveTimeForMemory is the same for a message that is refused for its memory.
 	minReceiveTimeForMemory = 50 * time.Millisecond
+	// acceptsPerYield is the number of connections that are accepted before other goroutines may run. Requests wait in
+	// the queue of the kernel meanwhile, so it is not one.
+	acceptsPerYield = 16
 	// evictionInterval is the time between two checks for connections to evict.
 	evictionInterval = 25 * time.Millisecond
 )
@@ -64,17 +67,22 @@
 
 // clientListener accepts connections as *clientConn.
 type clientListener struct {
-	net.Listener
-	owner *clientConns
+	net.Listener // limits the number of connections
+	owner        *clientConns
+	sinceYield   int // connections accepted since the processor was yielded
 }
 
 // listener wraps a listener to accept no more connections than there are file descriptors for.
 func (cc *clientConns) listener(inner net.Listener) net.Listener {
-	return clientListener{netutil.LimitListener(retryingListener{inner, cc.log}, cc.maxConns+cc.headroom), cc}
+	return &clientListener{Listener: netutil.LimitListener(retryingListener{inner, cc.log}, cc.maxConns+cc.headroom), owner: cc}
 }
 
-// Accept implements net.Listener.
-func (l clientListener) Accept() (net.Conn, error) {
+// Accept implements net.Listener. Accept must not be called concurrently.
+func (l *clientListener) Accept() (net.Conn, error) {
+	if l.sinceYield++; l.sinceYield >= acceptsPerYield {
+		l.sinceYield = 0
+		yieldProcessor()
+	}
 	conn, err := l.Listener.Accept()
 	if err != nil {
 		return nil, err
--- a/internal/node/deadline_reader.go
+++ b/internal/node/deadline_reader.go
@@ -47,6 +47,7 @@
 
 // Read implements io.Reader.
 func (r *deadlineReader) Read(b []byte) (int, error) {
+	yieldProcessor()
 	n, err := r.body.Read(b)
 	if r.bytesRead += n; n > 0 {
 		r.extend(time.Now())
