node: begin no attempt for a client that has closed, whoever has read it

On a node that is short of processor time the loop may take a request and begin its attempt in between, later than 0.1 s after the close.

Change: the loop drops a request, and an attempt does not begin, if the client's socket shows the end of the connection when it is looked into (as it is for kept connections to servers). A close, a half close and a reset count, also one that the node's own unread answer brings.

--- a/internal/node/client_conn.go
+++ b/internal/node/client_conn.go
@@ -10,6 +10,7 @@
 	"os"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"otterstep/internal/budget"
@@ -20,6 +21,7 @@
 // close a connection: it ends the wait for data, and data that has arrived by then undoes the eviction.
 type clientConn struct {
 	net.Conn
+	raw         syscall.RawConn // the connection's descriptor; nil: not known
 	owner       *clientConns
 	list        *list.List    // list of the owner that holds the connection; nil while a request is open
 	element     *list.Element // the connection's element of the list
@@ -137,6 +139,17 @@
 	}
 }
 
+// hasEnded reports whether the client has closed the connection or its sending side and all that it has sent was read.
+// It does not block, and sees a close that no read has seen yet.
+func (c *clientConn) hasEnded() bool {
+	if c.raw == nil {
+		return false
+	}
+	hasEnded := false
+	err := c.raw.Control(func(descriptor uintptr) { hasEnded = peek(descriptor) == peekedEnd })
+	return err != nil || hasEnded
+}
+
 // SetReadDeadline implements net.Conn for net/http. It does not undo an eviction or a refusal.
 func (c *clientConn) SetReadDeadline(at time.Time) error {
 	c.owner.mu.Lock()
--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 
 	"golang.org/x/net/netutil"
@@ -68,13 +69,29 @@
 // clientListener accepts connections as *clientConn.
 type clientListener struct {
 	net.Listener // limits the number of connections
+	accepted     *recordingListener
 	owner        *clientConns
 	sinceYield   int // connections accepted since the processor was yielded
 }
 
+// recordingListener records the latest connection that it has accepted, because the limit wraps connections. Its
+// Accept must not be called concurrently.
+type recordingListener struct {
+	net.Listener
+	latest net.Conn
+}
+
+// Accept implements net.Listener.
+func (l *recordingListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	l.latest = conn
+	return conn, err
+}
+
 // listener wraps a listener to accept no more connections than there are file descriptors for.
 func (cc *clientConns) listener(inner net.Listener) net.Listener {
-	return &clientListener{Listener: netutil.LimitListener(retryingListener{inner, cc.log}, cc.maxConns+cc.headroom), owner: cc}
+	accepted := &recordingListener{Listener: retryingListener{inner, cc.log}}
+	return &clientListener{Listener: netutil.LimitListener(accepted, cc.maxConns+cc.headroom), accepted: accepted, owner: cc}
 }
 
 // Accept implements net.Listener. Accept must not be called concurrently.
@@ -87,7 +104,11 @@
 	if err != nil {
 		return nil, err
 	}
-	return &clientConn{Conn: conn, owner: l.owner}, nil
+	client := &clientConn{Conn: conn, owner: l.owner}
+	if socket, ok := l.accepted.latest.(syscall.Conn); ok {
+		client.raw, _ = socket.SyscallConn()
+	}
+	return client, nil
 }
 
 // onConnState follows the state of a connection. It is the ConnState callback of the http.Server.
--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -110,6 +110,7 @@
 
 	answers := make(chan finalAnswer, 1)
 	var submitted *request
+	outgoing.client = presenceOf(r)
 	outgoing.hold() // for the loop
 	if !f.loop.post(func() { submitted = f.loop.submit(policyRequest, outgoing, answers) }) {
 		outgoing.release()
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -82,6 +82,7 @@
 	id            policy.RequestID
 	outgoing      *upstreamRequest
 	answers       chan<- finalAnswer // has buffer space for the one answer
+	client        *clientPresence    // constant; the goroutines of attempts read it too
 	deadline      time.Duration      // the Balancer's deadline, at which attempts time out
 	valueUntil    time.Duration      // time up to which an answer earns its full value
 	answered      bool
@@ -117,9 +118,12 @@
 }
 
 // beginWrite claims the right to write the request. It returns false if the loop has abandoned the
-// attempt, the write deadline has passed or the attempt's server is being taken out of
+// attempt, the client has disconnected, the write deadline has passed or the attempt's server is being taken out of
 // service. Every attempt calls it right before the first byte of its request.
 func (a *attempt) beginWrite() bool {
+	if a.request.client.isGone() {
+		return false
+	}
 	now := a.clock.now()
 	deadline := time.Duration(a.request.writeDeadline.Load())
 	if deadline > 0 && now >= deadline || !a.gate.admits(a.serverID) || !a.phase.CompareAndSwap(phaseUnsent, phaseWriting) {
@@ -373,9 +377,13 @@
 	}
 }
 
-// submit passes a client's request to the Balancer. It sends exactly one final
+// submit passes a client's request to the Balancer, unless the client has disconnected. It sends exactly one final
 // answer to answers. The loop holds the memory of the request from then on.
 func (l *loop) submit(policyRequest policy.Request, outgoing *upstreamRequest, answers chan<- finalAnswer) *request {
+	if outgoing.client.isGone() {
+		outgoing.release()
+		return &request{answers: answers, answered: true}
+	}
 	if !l.recentIDs.add(l.now, outgoing.header.Get("X-Correlation-Id")) {
 		outgoing.release()
 		r := &request{answers: answers}
@@ -390,7 +398,7 @@
 	}
 	timeLeft := max(0, outgoing.clientDeadline-l.now)
 	policyRequest.ID, policyRequest.TimeLeft = l.lastRequestID, timeLeft-min(balancerDeadlineMargin, timeLeft/2)
-	r := &request{id: policyRequest.ID, outgoing: outgoing, answers: answers, deadline: l.now + policyRequest.TimeLeft, valueUntil: outgoing.valueUntil}
+	r := &request{id: policyRequest.ID, outgoing: outgoing, answers: answers, client: outgoing.client, deadline: l.now + policyRequest.TimeLeft, valueUntil: outgoing.valueUntil}
 	l.requests[r.id] = r
 	l.requestLog.requestTaken(r, policyRequest)
 	l.balancer.RequestArrived(l.now, policyRequest)
--- a/internal/node/server_conns.go
+++ b/internal/node/server_conns.go
@@ -8,7 +8,6 @@
 	"io"
 	"net"
 	"slices"
-	"syscall"
 	"time"
 )
 
@@ -156,11 +155,10 @@
 	if err != nil {
 		return false
 	}
-	var b [1]byte
-	var peekErr error
-	err = raw.Read(func(fd uintptr) bool {
-		_, _, peekErr = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	var state peekResult
+	err = raw.Read(func(descriptor uintptr) bool {
+		state = peek(descriptor)
 		return true
 	})
-	return err == nil && errors.Is(peekErr, syscall.EAGAIN)
+	return err == nil && state == peekedNothing
 }
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -41,6 +41,7 @@
 	clientDeadline time.Duration       // time on the node's clock at which the client gives up
 	valueUntil     time.Duration       // time on the node's clock up to which an answer earns its full value
 	memory         *budget.Reservation // memory of the request and of its answer; nil: not counted
+	client         *clientPresence     // whether the client is still connected; nil: it is
 }
 
 // hold adds a holder of the request's memory.
