node: keep nothing of a request that is answered, and bound the set of recent ids

Change: the timers of a request are cancelled when it is forgotten. The set keeps ids of open requests, and of ended ones that may have run; a generation of those ends early at a number of ids that follows the memory in the settings. An id is now known for a whole generation after the end of its request, not after its arrival, so one that comes again after its client has left does not run twice while its first attempt is given up.

TestRecentIDsExpire ends each request at once, as ids are kept from then on; its checks are the same.

--- a/internal/node/clients_test.go
+++ b/internal/node/clients_test.go
@@ -154,20 +154,83 @@
 
 func TestRecentIDsExpire(t *testing.T) {
 	ids := newRecentIDs(nil)
-	if !ids.add(0, "a") || ids.add(ids.generationLength, "a") {
+	// add adds an id whose request ends at once, and reports whether it was new.
+	add := func(now time.Duration, id string) bool {
+		hash, isNew := ids.add(now, id)
+		if isNew {
+			ids.end(now, hash, true)
+		}
+		return isNew
+	}
+	if !add(0, "a") || add(ids.generationLength, "a") {
 		t.Error("an id must be new once, and known for one generation")
 	}
 	for i := range 1000 {
-		ids.add(time.Duration(i)*ids.generationLength/100, fmt.Sprint("b", i))
+		add(time.Duration(i)*ids.generationLength/100, fmt.Sprint("b", i))
 	}
-	if n := len(ids.current) + len(ids.previous); n > 250 {
+	if n := len(ids.open) + len(ids.current) + len(ids.previous); n > 250 {
 		t.Errorf("%d ids kept, want those of two generations", n)
 	}
-	if !ids.add(100*ids.generationLength, "a") {
+	if !add(100*ids.generationLength, "a") {
 		t.Error("an id is never forgotten")
 	}
 }
 
+// Guards against a set of ids that grows with the rate of requests, and against forgetting the id of an open request
+// for that.
+func TestRecentIDsStaySmallUnderAnyRateOfRequests(t *testing.T) {
+	ids := newRecentIDs(nil)
+	ids.generationSize = 100
+	open, _ := ids.add(0, "open")
+	for i := range 1000 {
+		hash, _ := ids.add(0, fmt.Sprint("b", i))
+		ids.end(0, hash, true)
+	}
+	if n := len(ids.open) + len(ids.current) + len(ids.previous); n > 2*ids.generationSize+1 {
+		t.Errorf("%d ids kept, want at most two generations and the open one", n)
+	}
+	if _, isNew := ids.add(0, "open"); isNew {
+		t.Error("the id of an open request was forgotten")
+	}
+	ids.end(0, open, true)
+	if _, isNew := ids.add(0, "open"); isNew {
+		t.Error("the id of a request that has just ended was forgotten")
+	}
+	refused, _ := ids.add(0, "refused")
+	ids.end(0, refused, false)
+	if _, isNew := ids.add(0, "refused"); !isNew {
+		t.Error("the id of a request that never ran is kept")
+	}
+}
+
+// Guards against timers, ids and requests that outlive the answer of a request, so that memory grows with the rate of
+// requests.
+func TestAnsweredRequestLeavesNothingBehind(t *testing.T) {
+	s := newFakeServer(t, respondWith(okResponse("x"), true))
+	l, addr := startFront(t, s, (*clientConns).onConnState)
+	for range 20 {
+		doRequest(t, newClientRequest(t, addr, "read", "2.9"))
+	}
+	type remains struct{ requests, openIDs, requestTimers int }
+	count := func() remains {
+		left := make(chan remains)
+		l.post(func() {
+			found := remains{requests: len(l.requests), openIDs: len(l.recentIDs.open)}
+			for _, timer := range l.timers {
+				if timer.at > l.now+time.Second { // the policy has none so late
+					found.requestTimers++
+				}
+			}
+			left <- found
+		})
+		return <-left
+	}
+	waitFor(t, "end of all requests", func() bool { return count().requests == 0 })
+	if left := count(); left != (remains{}) {
+		t.Errorf("%+v are left behind", left)
+	}
+}
+
 // Guards against a node that silent connections make unreachable: a connection without a request never
 // becomes idle, so hundreds of them reached the limit and stalled the listener for seconds.
 func TestSilentConnectionsAreEvictedForNewOnes(t *testing.T) {
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -80,6 +81,7 @@
 // goroutines of attempts read too.
 type request struct {
 	id            policy.RequestID
+	idHash        uint64 // hash of the client's id in the loop's recentIDs
 	outgoing      *upstreamRequest
 	answers       chan<- finalAnswer // has buffer space for the one answer
 	client        *clientPresence    // constant; the goroutines of attempts read it too
@@ -88,6 +90,7 @@
 	answered      bool
 	attempts      []*attempt
 	inFlight      int
+	timers        []*timer
 	writeDeadline atomic.Int64 // clock time in nanoseconds from which no attempt may be written; 0: no limit
 }
 
@@ -147,27 +150,6 @@
 	return maxQuietTime(a.clock.now(), a.request.valueUntil)
 }
 
-// timer is a callback that the loop runs at a time.
-type timer struct {
-	at       time.Duration
-	callback func()
-}
-
-// timerHeap is a heap of timers, the earliest first. It implements heap.Interface.
-type timerHeap []timer
-
-func (h timerHeap) Len() int           { return len(h) }
-func (h timerHeap) Less(i, j int) bool { return h[i].at < h[j].at }
-func (h timerHeap) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
-func (h *timerHeap) Push(x any)        { *h = append(*h, x.(timer)) }
-func (h *timerHeap) Pop() any {
-	old := *h
-	last := old[len(old)-1]
-	old[len(old)-1] = timer{} // releases what the callback refers to
-	*h = old[:len(old)-1]
-	return last
-}
-
 // loop is the event loop of a node. It owns the Balancer, the requests and the timers: one goroutine
 // runs it, and all others post events to it. It implements policy.Host. A Host must not call back
 // into the Balancer, so an action only starts a goroutine, answers a waiting handler, or defers its
@@ -231,7 +213,7 @@
 		case <-wake.C:
 		}
 		for len(l.timers) > 0 && l.timers[0].at <= l.advanceNow() {
-			l.runEvent(heap.Pop(&l.timers).(timer).callback)
+			l.runEvent(heap.Pop(&l.timers).(*timer).callback)
 		}
 		if len(l.timers) > 0 {
 			wake.Reset(l.timers[0].at - l.advanceNow())
@@ -280,11 +262,6 @@
 	}
 }
 
-// scheduleAt sets a timer.
-func (l *loop) scheduleAt(at time.Duration, callback func()) {
-	heap.Push(&l.timers, timer{at, callback})
-}
-
 // ---- Events
 
 // applyListUpdate applies a whole list or changes to it to the addresses of servers, and passes the
@@ -384,7 +361,8 @@
 		outgoing.release()
 		return &request{answers: answers, answered: true}
 	}
-	if !l.recentIDs.add(l.now, outgoing.header.Get("X-Correlation-Id")) {
+	idHash, isNew := l.recentIDs.add(l.now, outgoing.header.Get("X-Correlation-Id"))
+	if !isNew {
 		outgoing.release()
 		r := &request{answers: answers}
 		l.answer(r, finalAnswer{kind: answerDuplicateID})
@@ -398,13 +376,16 @@
 	}
 	timeLeft := max(0, outgoing.clientDeadline-l.now)
 	policyRequest.ID, policyRequest.TimeLeft = l.lastRequestID, timeLeft-min(balancerDeadlineMargin, timeLeft/2)
-	r := &request{id: policyRequest.ID, outgoing: outgoing, answers: answers, client: outgoing.client, deadline: l.now + policyRequest.TimeLeft, valueUntil: outgoing.valueUntil}
+	r := &request{
+		id: policyRequest.ID, idHash: idHash, outgoing: outgoing, answers: answers, client: outgoing.client,
+		deadline: l.now + policyRequest.TimeLeft, valueUntil: outgoing.valueUntil,
+	}
 	l.requests[r.id] = r
 	l.requestLog.requestTaken(r, policyRequest)
 	l.balancer.RequestArrived(l.now, policyRequest)
 	if !r.answered {
-		l.scheduleAt(r.deadline, func() { l.timeOutAttempts(r) })
-		l.scheduleAt(outgoing.clientDeadline-min(answerDeadlineMargin, timeLeft/4), func() { l.enforceDeadline(r) })
+		l.scheduleFor(r, r.deadline, func() { l.timeOutAttempts(r) })
+		l.scheduleFor(r, outgoing.clientDeadline-min(answerDeadlineMargin, timeLeft/4), func() { l.enforceDeadline(r) })
 	}
 	return r
 }
@@ -426,7 +407,7 @@
 	l.shutdownDeadline = deadline
 	for _, r := range l.requests {
 		if !r.answered && r.deadline > deadline {
-			l.scheduleAt(deadline, func() { l.enforceDeadline(r) })
+			l.scheduleFor(r, deadline, func() { l.enforceDeadline(r) })
 		}
 	}
 }
@@ -539,14 +520,21 @@
 	if r.answered {
 		if r.outgoing != nil {
 			r.outgoing.release()
-			r.outgoing = nil // the heap of timers may refer to the request for a while
+			r.outgoing = nil // an attempt in flight may refer to the request for a while
 		}
-		if r.inFlight == 0 {
+		if r.inFlight == 0 && l.requests[r.id] == r {
 			delete(l.requests, r.id)
+			l.cancelTimers(r)
+			l.recentIDs.end(l.now, r.idHash, r.mayHaveRun())
 		}
 	}
 }
 
+// mayHaveRun reports whether any attempt of the request was permitted to begin.
+func (r *request) mayHaveRun() bool {
+	return slices.ContainsFunc(r.attempts, func(a *attempt) bool { return a.beganAt.Load() != 0 })
+}
+
 // ---- Actions of the Balancer
 
 // Send implements policy.Host.
@@ -571,7 +559,7 @@
 	timeLeft := r.deadline - l.now
 	if timeout > 0 && timeout < timeLeft {
 		timeLeft = timeout
-		l.scheduleAt(l.now+timeout, func() {
+		l.scheduleFor(r, l.now+timeout, func() {
 			if !newAttempt.outcomeReported {
 				l.abandon(newAttempt, policy.Timeout)
 			}
@@ -597,7 +585,7 @@
 		return
 	}
 	if r.writeDeadline.Store(int64(deadline)); deadline > 0 {
-		l.scheduleAt(deadline, func() { l.cancelUnwritten(r, deadline) })
+		l.scheduleFor(r, deadline, func() { l.cancelUnwritten(r, deadline) })
 	}
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -100,6 +100,7 @@
 		return err
 	}
 	loop.requestLog = newRequestLog(log)
+	loop.recentIDs.generationSize = memory.recentIDs
 	discovery.callLog.partialListEntries = &loop.metrics.partialListEntries
 	loop.balancer.Observe(decisionLog{log, loop})
 	upstream.log, clients.log = log, log
