node: requests that wait for memory don't count as open ones

What callers saw: at 32 MB and 256 descriptors, 153 clients with whole bodies of 60 KiB: 43 to 86 of 640 usual requests refused, as requests that waited for the memory of their body counted as open ones, of which there were more than connections allow.

Change: a connection whose request waits for memory is in a list of its own, which isFull leaves out. The refusals of messages are errors of one type, and ServeHTTP is parted by what it answers.

--- a/cmd/otterstep/pressure_test.go
+++ b/cmd/otterstep/pressure_test.go
@@ -179,6 +179,7 @@
 type usualLoad struct {
 	requests, served, refused, late, unanswered int
 	p50, p99                                    time.Duration
+	lastError                                   error // an error of a request with no answer
 }
 
 // String describes the result for the test's log.
@@ -194,6 +195,7 @@
 	client := http.Client{Transport: transport, Timeout: usualTimeLeft + 3*time.Second}
 	latencies := make([]time.Duration, int(usualRequestsPerSecond*duration.Seconds()))
 	var served, refused, late, unanswered atomic.Int64
+	var lastError atomic.Pointer[error]
 	var clients sync.WaitGroup
 	startedAt := time.Now()
 	for i := range latencies {
@@ -206,6 +208,7 @@
 			switch {
 			case err != nil:
 				unanswered.Add(1)
+				lastError.Store(&err)
 			case status == http.StatusOK:
 				served.Add(1)
 			case status == http.StatusServiceUnavailable:
@@ -218,10 +221,14 @@
 	}
 	clients.Wait()
 	slices.Sort(latencies)
-	return usualLoad{
+	result = usualLoad{
 		requests: len(latencies), served: int(served.Load()), refused: int(refused.Load()), late: int(late.Load()), unanswered: int(unanswered.Load()),
 		p50: latencies[len(latencies)/2].Round(time.Millisecond), p99: latencies[len(latencies)*99/100].Round(time.Millisecond),
 	}
+	if err := lastError.Load(); err != nil {
+		result.lastError = *err
+	}
+	return result
 }
 
 // sendUsualRequest sends one request and returns the status of its answer. Every third request is a POST.
@@ -255,7 +262,7 @@
 	t.Helper()
 	t.Log(l)
 	if l.unanswered > 0 || l.late > 0 || float64(l.served) < minServed*float64(l.requests) {
-		t.Errorf("want none with no answer, none late and %.2f served: %v", minServed, l)
+		t.Errorf("want none with no answer, none late and %.2f served: %v, %v", minServed, l, l.lastError)
 	}
 }
 
--- a/internal/node/client_conn.go
+++ b/internal/node/client_conn.go
@@ -164,7 +164,8 @@
 func (c *clientConn) isWaiting() bool {
 	c.owner.mu.Lock()
 	defer c.owner.mu.Unlock()
-	return c.list != nil && c.list != &c.owner.readingBody || c.isEvicted
+	hasOpenRequest := c.list == nil || c.list == &c.owner.awaitingMemory || c.list == &c.owner.readingBody
+	return !hasOpenRequest || c.isEvicted
 }
 
 // undoEviction keeps an evicted connection.
--- a/internal/node/client_memory.go
+++ b/internal/node/client_memory.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"time"
 
@@ -20,15 +21,19 @@
 	maxMemoryWait = 100 * time.Millisecond
 )
 
-// refusal is why a message is refused before it has been received. Its request was not forwarded.
+// refusal is the error of a message that is refused before it has been received. Its request was not forwarded.
 type refusal struct {
 	code   int    // status code of the answer
 	reason string // reason for the log, and text of an answer that is no refusal in the policy's sense
 }
 
+// Error implements error.
+func (r *refusal) Error() string { return r.reason }
+
 // The refusals of messages.
 var (
 	refusedTooManyFields = &refusal{http.StatusRequestHeaderFieldsTooLarge, "too many fields"}
+	refusedNoRoom        = &refusal{http.StatusServiceUnavailable, "too many open requests"}
 	refusedNoMemory      = &refusal{http.StatusServiceUnavailable, "no memory for the message"}
 	refusedSlowForMemory = &refusal{http.StatusServiceUnavailable, "the message came slowly, and others need its memory"}
 	refusedSlowForRoom   = &refusal{http.StatusServiceUnavailable, "the message came slowly, and others need its connection"}
@@ -120,6 +125,41 @@
 	return f.clients.memory.NewReservation(freeMessageBytes)
 }
 
+// receiveBody reads the body of a request, whose declared length has been checked, once there is memory for it.
+func (f *front) receiveBody(r *http.Request, message *budget.Reservation) ([]byte, error) {
+	if r.ContentLength == 0 {
+		return nil, nil
+	}
+	c := connOf(r)
+	if c == nil {
+		if !growMessage(message, r.ContentLength) {
+			return nil, refusedNoMemory
+		}
+		return readBody(r)
+	}
+	defer f.clients.setBodyState(c, nil)
+	f.clients.setBodyState(c, &f.clients.awaitingMemory)
+	if !growMessage(message, r.ContentLength) {
+		return nil, refusedNoMemory
+	}
+	f.clients.setBodyState(c, &f.clients.readingBody)
+	c.input.expectBody(r.ContentLength)
+	body, err := readBody(r)
+	if why := c.refusal.Load(); why != nil {
+		return nil, why
+	}
+	return body, err
+}
+
+// readBody reads a body of a declared length.
+func readBody(r *http.Request) ([]byte, error) {
+	body := make([]byte, r.ContentLength)
+	if _, err := io.ReadFull(r.Body, body); err != nil {
+		return nil, &clientError{http.StatusRequestTimeout, "body: shorter than its length"}
+	}
+	return body, nil
+}
+
 // refuseMessage answers a message that is refused. The connection of one that came slowly closes at once: net/http
 // would keep it, and its memory, for another half second.
 func (f *front) refuseMessage(w http.ResponseWriter, why *refusal) {
--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -49,13 +49,14 @@
 	memory             *budget.Budget // memory for messages
 	log                *slog.Logger
 
-	mu           sync.Mutex
-	conns        map[*clientConn]struct{}
-	awaitingHead list.List // *clientConn that have sent nothing yet, the oldest first
-	idleConns    list.List // idle *clientConn, the longest idle first
-	readingHead  list.List // *clientConn that have sent a part of a head, the oldest first
-	readingBody  list.List // *clientConn whose requests lack a part of their body, the oldest first
-	evictedCount int       // number of connections that are evicted and not closed yet
+	mu             sync.Mutex
+	conns          map[*clientConn]struct{}
+	awaitingHead   list.List // *clientConn that have sent nothing yet, the oldest first
+	idleConns      list.List // idle *clientConn, the longest idle first
+	readingHead    list.List // *clientConn that have sent a part of a head, the oldest first
+	awaitingMemory list.List // *clientConn whose requests wait for the memory for their body, the oldest first
+	readingBody    list.List // *clientConn whose requests lack a part of their body, the oldest first
+	evictedCount   int       // number of connections that are evicted and not closed yet
 }
 
 // newClientConns returns a clientConns that uses no more than the given number of file descriptors, and the given
@@ -150,15 +151,12 @@
 	}
 }
 
-// bodyExpected records that the connection of a request waits for its body, until the returned function is called.
-func (cc *clientConns) bodyExpected(c *clientConn) (received func()) {
+// setBodyState moves the connection of a request whose body is expected to another list, or to none if to is nil.
+func (cc *clientConns) setBodyState(c *clientConn, to *list.List) {
 	cc.mu.Lock()
 	defer cc.mu.Unlock()
-	c.moveTo(&cc.readingBody)
-	return func() {
-		cc.mu.Lock()
-		defer cc.mu.Unlock()
-		c.moveTo(nil)
+	if c.refusal.Load() == nil {
+		c.moveTo(to)
 	}
 }
 
@@ -278,7 +276,7 @@
 func (cc *clientConns) isFull() bool {
 	cc.mu.Lock()
 	defer cc.mu.Unlock()
-	waiting := cc.awaitingHead.Len() + cc.idleConns.Len() + cc.readingHead.Len() + cc.readingBody.Len()
+	waiting := cc.awaitingHead.Len() + cc.idleConns.Len() + cc.readingHead.Len() + cc.awaitingMemory.Len() + cc.readingBody.Len()
 	return cc.remainingCount()-waiting > cc.maxConns
 }
 
--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -61,41 +61,34 @@
 // has the loop answer all others.
 func (f *front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	receivedAt := f.loop.clock.now()
-	overLimit := f.clients.isFull()
-	if why := refusalOf(r); why != nil {
+	_, metricsIsClass := f.classIndex[metricsPath[1:]]
+	switch why := refusalOf(r); {
+	case why != nil:
 		f.refuseMessage(w, why)
-		return
-	}
-	if r.URL.Path == "/up" {
+	case r.URL.Path == "/up":
 		f.close(w, r)
 		if !f.isReady() {
 			http.Error(w, "not ready", http.StatusServiceUnavailable)
 		}
-		return
-	}
-	if _, isClass := f.classIndex[metricsPath[1:]]; r.URL.Path == metricsPath && !isClass {
+	case r.URL.Path == metricsPath && !metricsIsClass:
 		f.close(w, r)
 		f.loop.metrics.write(w)
-		return
+	default:
+		f.serveRequest(w, r, receivedAt)
 	}
+}
+
+// serveRequest receives a client's request and answers it.
+func (f *front) serveRequest(w http.ResponseWriter, r *http.Request, receivedAt time.Duration) {
+	isFull := f.clients.isFull()
 	policyRequest, outgoing, err := f.parseRequest(r, receivedAt)
-	if err == nil && overLimit { // no attempt has been made, so a refusal may promise that a retry does no harm
-		w.Header().Set("Connection", "close")
-		writeAnswer(w, finalAnswer{kind: answerRefused, retryAfter: f.settings.Policy.Limits.MaxRetryAfter})
-		return
+	if err == nil && isFull {
+		err = refusedNoRoom
 	}
 	if err == nil {
 		outgoing.memory = f.messageOf(r)
-		defer outgoing.memory.Release()
-		if !growMessage(outgoing.memory, r.ContentLength) {
-			f.refuseMessage(w, refusedNoMemory)
-			return
-		}
-		outgoing.body, err = f.readRequestBody(r)
-	}
-	if why := refusalOf(r); why != nil {
-		f.refuseMessage(w, why)
-		return
+		defer outgoing.release()
+		outgoing.body, err = f.receiveBody(r, outgoing.memory)
 	}
 	if err == nil && isFollowedByNoRequest(r) {
 		err = errNoRequestAfterBody
@@ -107,7 +100,11 @@
 	// The request has been read, and the read deadline must not end the wait for its answer. If the
 	// deadline can't be cleared, the connection is broken, which shows in the wait.
 	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
+	f.answerRequest(w, r, policyRequest, outgoing)
+}
 
+// answerRequest has the loop answer a request that has been received.
+func (f *front) answerRequest(w http.ResponseWriter, r *http.Request, policyRequest policy.Request, outgoing *upstreamRequest) {
 	answers := make(chan finalAnswer, 1)
 	var submitted *request
 	outgoing.client = presenceOf(r)
@@ -157,10 +154,14 @@
 	f.clients.log.Debug("client connection closes after its answer", "client", r.RemoteAddr, "reason", reason)
 }
 
-// writeClientError answers an invalid request and closes the connection, because what follows on it
+// writeClientError answers an invalid or refused request and closes the connection, because what follows on it
 // can't be trusted. If few file descriptors are left it closes at once: net/http would keep the
 // connection for another half second, so that a client that is still sending sees the answer.
 func (f *front) writeClientError(w http.ResponseWriter, err error) {
+	if why := (*refusal)(nil); errors.As(err, &why) {
+		f.refuseMessage(w, why)
+		return
+	}
 	code := http.StatusBadRequest
 	if invalid := (*clientError)(nil); errors.As(err, &invalid) {
 		code = invalid.statusCode
@@ -255,22 +256,6 @@
 	return policyRequest, outgoing, nil
 }
 
-// readRequestBody reads a body whose declared length has been checked.
-func (f *front) readRequestBody(r *http.Request) ([]byte, error) {
-	if r.ContentLength == 0 {
-		return nil, nil
-	}
-	if c := connOf(r); c != nil {
-		c.input.expectBody(r.ContentLength)
-		defer f.clients.bodyExpected(c)()
-	}
-	body := make([]byte, r.ContentLength)
-	if _, err := io.ReadFull(r.Body, body); err != nil {
-		return nil, &clientError{http.StatusRequestTimeout, "body: shorter than its length"}
-	}
-	return body, nil
-}
-
 // parseDuration parses the value of a header that is a decimal number of units. It returns a
 // clientError for more than one hour, because no client waits that long.
 func parseDuration(name, text string, unit time.Duration) (time.Duration, error) {
