node: send nothing to a server whose address a later process has

Found by reading and forced in a test: connections are kept by incarnation, but while discovery still lists the old server beside the new one at the same address, requests to the old one are dialled there and reach the new process. It gets its own slow-start share and a warm server's share besides.

Change: an address belongs to the listed server whose process started last. An attempt at another server listed there ends as a failed connect, which never ran and counts for that server's breaker; attempts that still wait for a connection are withdrawn, and its idle connections closed. Servers that started at the same time may share an address as before.

TestNoRequestReachesTheSuccessorAtTheAddressOfItsServer fails before in its four rows.

--- a/internal/node/incarnations_test.go
+++ b/internal/node/incarnations_test.go
@@ -105,6 +105,74 @@
 	}
 }
 
+// Guards against requests that reach a process that was started at the address of a server that has gone: the new
+// server is listed before the old one is reported gone, and would get the old one's requests beside its own.
+func TestNoRequestReachesTheSuccessorAtTheAddressOfItsServer(t *testing.T) {
+	const shared, other = "127.0.0.1:1", "127.0.0.1:2"
+	inService := func(id policy.ServerID, startedAt time.Duration) policy.Entry {
+		return policy.Entry{Server: id, State: policy.StateInService, StartedAt: startedAt}
+	}
+	for name, deliver := range map[string]func(l *loop){
+		"changes": func(l *loop) {
+			l.applyListUpdate(updateAt(policy.ListChanges, 11, []policy.Entry{inService(2, clockOrigin)}, shared))
+		},
+		"a whole list, the new one first": func(l *loop) {
+			l.applyListUpdate(updateAt(policy.ListWhole, 11, []policy.Entry{inService(2, clockOrigin), inService(1, 0), inService(3, 0)},
+				shared, shared, other))
+		},
+		"a whole list, the old one first": func(l *loop) {
+			l.applyListUpdate(updateAt(policy.ListWhole, 11, []policy.Entry{inService(1, 0), inService(2, clockOrigin), inService(3, 0)},
+				shared, shared, other))
+		},
+		"the old one once more": func(l *loop) {
+			l.applyListUpdate(updateAt(policy.ListChanges, 11, []policy.Entry{inService(2, clockOrigin)}, shared))
+			l.applyListUpdate(updateAt(policy.ListChanges, 12, []policy.Entry{inService(1, 0)}, shared))
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l := newTestLoop(t)
+			l.advanceNow()
+			l.upstream.dialer = func(ctx context.Context, _ string) (net.Conn, error) {
+				<-ctx.Done()
+				return nil, ctx.Err()
+			}
+			l.applyListUpdate(updateAt(policy.ListWhole, 10, []policy.Entry{inService(1, 0), inService(3, 0)}, shared, other))
+			unsent := submitUntil(t, l, 1)
+			l.runEvent(func() { deliver(l) })
+			if !unsent.outcomeReported {
+				t.Error("an attempt that waits for its connection was not withdrawn")
+			}
+			for range 32 {
+				r := submitRead(l)
+				for _, a := range r.attempts {
+					if a.serverID == 1 && a.phase.Load() != phaseAbandoned {
+						t.Fatal("a request went to the successor of its server")
+					}
+				}
+				l.runEvent(func() { l.clientDisconnected(r) })
+			}
+			l.applyListUpdate(updateAt(policy.ListChanges, 20, []policy.Entry{{Server: 2, State: policy.StateGone}}, shared))
+			if l.addressOwners.isSuperseded(l.servers[1]) {
+				t.Error("the address counts as taken after its new server has gone")
+			}
+		})
+	}
+}
+
+// submitUntil submits requests until one has its first attempt at a server, and returns that attempt.
+func submitUntil(t *testing.T, l *loop, server policy.ServerID) *attempt {
+	t.Helper()
+	for range 100 {
+		r := submitRead(l)
+		if a := r.attempts[0]; a.serverID == server {
+			return a
+		}
+		l.runEvent(func() { l.clientDisconnected(r) })
+	}
+	t.Fatal("no request went to the server")
+	return nil
+}
+
 // clientAtVersion41 returns a discovery client at version 41 with servers s1 and s2 in service, and its loop, which does
 // not run.
 func clientAtVersion41(t *testing.T) (*discoveryClient, *loop) {
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -169,6 +169,7 @@
 	now              time.Duration
 	requests         map[policy.RequestID]*request
 	servers          map[policy.ServerID]serverIncarnation
+	addressOwners    addressOwners
 	lastRequestID    policy.RequestID
 	recentIDs        recentIDs
 	shutdownDeadline time.Duration // time by which all requests are answered when the node shuts down; 0: it does not shut down
@@ -185,7 +186,7 @@
 		onReady:    func() {}, callQueue: callQueue,
 		events: make(chan func(), 256), stopped: make(chan struct{}),
 		recentIDs: newRecentIDs(settings.Classes),
-		requests:  map[policy.RequestID]*request{}, servers: map[policy.ServerID]serverIncarnation{},
+		requests:  map[policy.RequestID]*request{}, servers: map[policy.ServerID]serverIncarnation{}, addressOwners: addressOwners{},
 	}
 	var err error
 	if l.balancer, err = policy.New(settings, seed, l); err != nil {
@@ -264,96 +265,6 @@
 
 // ---- Events
 
-// applyListUpdate applies a whole list or changes to it to the addresses of servers, and passes the
-// update on to the Balancer.
-func (l *loop) applyListUpdate(update listUpdate) {
-	switch update.kind {
-	case policy.ListWhole, policy.ListCached:
-		l.replaceServers(update)
-	case policy.ListChanges:
-		l.changeServers(update)
-	}
-	l.balancer.ListUpdatedFrom(l.now, update.origin, update.kind, update.entries)
-}
-
-// replaceServers replaces the addresses of all servers by those of a whole list. A server whose entry
-// the Balancer does not accept keeps its address.
-func (l *loop) replaceServers(update listUpdate) {
-	previous := l.servers
-	l.servers = make(map[policy.ServerID]serverIncarnation, len(update.entries))
-	accepted := l.balancer.AcceptedEntries(l.now, update.origin, update.entries)
-	for i, entry := range update.entries {
-		if accepted[i] {
-			l.setServer(entry, update.endpoints[i])
-		} else if incarnation, listed := previous[entry.Server]; listed && l.servers[entry.Server] == (serverIncarnation{}) {
-			l.servers[entry.Server] = incarnation
-		}
-	}
-	var unlistedAddrs []string
-	var dropped []serverIncarnation
-	for id, incarnation := range previous {
-		if l.servers[id] != incarnation {
-			dropped = append(dropped, incarnation)
-		}
-		if _, isListed := l.servers[id]; !isListed {
-			unlistedAddrs = append(unlistedAddrs, incarnation.addr)
-		}
-	}
-	if len(unlistedAddrs) > 0 {
-		l.requestLog.logger.Info("servers not in the whole list", "count", len(unlistedAddrs),
-			"endpoints", unlistedAddrs[:min(len(unlistedAddrs), maxLoggedServers)])
-	}
-	l.dropIncarnations(dropped)
-}
-
-// changeServers applies changes to the list. It looks at no unchanged server, because there may be
-// very many, and changes often come one by one.
-func (l *loop) changeServers(update listUpdate) {
-	var dropped []serverIncarnation
-	accepted := l.balancer.AcceptedEntries(l.now, update.origin, update.entries)
-	for i, entry := range update.entries {
-		if !accepted[i] {
-			continue
-		}
-		previous, listed := l.servers[entry.Server]
-		l.setServer(entry, update.endpoints[i])
-		if listed && l.servers[entry.Server] != previous {
-			dropped = append(dropped, previous)
-		}
-	}
-	l.dropIncarnations(dropped)
-}
-
-// setServer sets or removes the address of one server.
-func (l *loop) setServer(entry policy.Entry, endpoint string) {
-	if entry.State == policy.StateGone {
-		delete(l.servers, entry.Server)
-	} else {
-		l.servers[entry.Server] = serverIncarnation{entry.Server, endpoint, entry.StartedAt}
-	}
-}
-
-// dropIncarnations closes the idle connections to servers that are gone, have restarted or have
-// another address, and cancels the unsent attempts at them. It goes by incarnation, so that a late
-// message about an old server does not affect a new one at the same address.
-func (l *loop) dropIncarnations(incarnations []serverIncarnation) {
-	if len(incarnations) == 0 {
-		return
-	}
-	dropped := make(map[serverIncarnation]bool, len(incarnations))
-	for _, incarnation := range incarnations {
-		dropped[incarnation] = true
-		l.upstream.closeIdle(incarnation)
-	}
-	for _, r := range l.requests {
-		for _, a := range r.attempts {
-			if dropped[a.incarnation] {
-				l.CancelUnsent(r.id, a.index)
-			}
-		}
-	}
-}
-
 // submit passes a client's request to the Balancer, unless the client has disconnected. It sends exactly one final
 // answer to answers. The loop holds the memory of the request from then on.
 func (l *loop) submit(policyRequest policy.Request, outgoing *upstreamRequest, answers chan<- finalAnswer) *request {
@@ -555,6 +466,11 @@
 		l.deferred = append(l.deferred, func() { l.reportOutcome(newAttempt, policy.NotSent, l.now) })
 		return
 	}
+	if l.addressOwners.isSuperseded(incarnation) { // no connection to it can come up any more
+		newAttempt.phase.Store(phaseAbandoned)
+		l.deferred = append(l.deferred, func() { l.reportOutcome(newAttempt, policy.ConnectFailed, l.now) })
+		return
+	}
 	l.requestLog.attemptSent(newAttempt, incarnation)
 	timeLeft := r.deadline - l.now
 	if timeout > 0 && timeout < timeLeft {
