node: read what has arrived on an evicted connection, whatever the deadline

What callers saw: not reported; found while tracing requests with no answer at 64 MB and 1,024 descriptors. An evicted connection was looked at once more with a read deadline of 1 ms. A node that is held up for longer between setting it and reading finds the deadline over, reads nothing, and closes over a request that has arrived.

Change: the last look reads the socket without regard to deadlines. The memory for messages is also bounded by what a quarter of the clients could use at once: with more, clients with large bodies took all connections and the processor of a node with much memory and few descriptors.

TestArrivedRequestIsReadHoweverLateTheNodeLooks fails before (0 of 3 bytes read).

--- a/internal/node/client_conn.go
+++ b/internal/node/client_conn.go
@@ -98,8 +98,7 @@
 	}
 	n, err := c.Conn.Read(b)
 	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.isWaiting() {
-		c.Conn.SetReadDeadline(time.Now().Add(time.Millisecond))
-		n, err = c.Conn.Read(b)
+		n, err = c.readArrived(b)
 	}
 	if n == 0 {
 		return messagePart{}, err
@@ -108,6 +107,26 @@
 	return c.input.cut(b[:n], c.owner.memory), err
 }
 
+// readArrived reads what has arrived, whatever the read deadline. It does not block.
+func (c *clientConn) readArrived(b []byte) (n int, err error) {
+	if c.raw == nil {
+		c.Conn.SetReadDeadline(time.Now().Add(time.Millisecond))
+		return c.Conn.Read(b)
+	}
+	controlErr := c.raw.Control(func(descriptor uintptr) { n, err = syscall.Read(int(descriptor), b) })
+	switch {
+	case controlErr != nil:
+		return 0, controlErr
+	case errors.Is(err, syscall.EAGAIN), errors.Is(err, syscall.EINTR):
+		return 0, os.ErrDeadlineExceeded
+	case err != nil:
+		return 0, err
+	case n == 0:
+		return 0, io.EOF
+	}
+	return n, nil
+}
+
 // largeReads holds buffers for the input of clients that send much after an open request.
 var largeReads = sync.Pool{New: func() any { return new([4 << 10]byte) }}
 
--- a/internal/node/client_presence_test.go
+++ b/internal/node/client_presence_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
+	"os"
+	"runtime"
 	"testing"
 	"time"
 
@@ -92,3 +95,44 @@
 		t.Errorf("%d attempts, %d open requests, %d answers; want none", len(r.attempts), len(l.requests), len(answers))
 	}
 }
+
+// heldUpConn is a connection whose node is held up behind each short read deadline that it sets, until the deadline has
+// passed.
+type heldUpConn struct{ net.Conn }
+
+func (c heldUpConn) SetReadDeadline(at time.Time) error {
+	err := c.Conn.SetReadDeadline(at)
+	for time.Now().Before(at) && time.Until(at) < 10*time.Millisecond {
+		runtime.Gosched()
+	}
+	return err
+}
+
+// Guards against a request that is closed unread though it has arrived before the eviction of its connection: the node is
+// held up between the time limit of its last look and the look.
+func TestArrivedRequestIsReadHoweverLateTheNodeLooks(t *testing.T) {
+	client, conn := connectedClient(t)
+	conn.Conn = heldUpConn{conn.Conn}
+	conn.owner.onConnState(conn, http.StateNew)
+	io.WriteString(client, "GET")
+	waitFor(t, "data", func() bool {
+		state := peekedNothing
+		conn.raw.Control(func(descriptor uintptr) { state = peek(descriptor) })
+		return state == peekedData
+	})
+	conn.owner.evictAllWaiting()
+	var b [8]byte
+	if part, err := conn.receive(b[:]); part.bytes != 3 || err != nil || conn.isEvicted {
+		t.Errorf("read %d bytes, %v, evicted %v; want the 3 bytes that have arrived", part.bytes, err, conn.isEvicted)
+	}
+	conn.owner.onConnState(conn, http.StateIdle)
+	conn.owner.evictAllWaiting()
+	if part, err := conn.receive(b[:]); part.bytes != 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("read %d bytes, %v without data; want the end of the wait", part.bytes, err)
+	}
+	client.Close()
+	waitFor(t, "end of the connection", conn.hasEnded)
+	if part, err := conn.receive(b[:]); part.bytes != 0 || !errors.Is(err, io.EOF) {
+		t.Errorf("read %d bytes, %v after the close; want its end", part.bytes, err)
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -52,7 +52,7 @@
 // Run serves requests until ctx ends. It then drains: it accepts connections for a while, answers all requests that
 // it has read and returns nil. At a signal of the reloader it applies the settings that can change while it runs.
 func Run(ctx context.Context, config Config, reloader ConfigReloader, log *slog.Logger) error {
-	if memory := planMemory(config.MemoryMB); memory.runtimeBytes > 0 {
+	if memory := planMemory(config.MemoryMB, config.Sockets); memory.runtimeBytes > 0 {
 		debug.SetMemoryLimit(memory.runtimeBytes)
 	}
 	listener, err := listenWithRetry(ctx, config.Listen, log)
@@ -90,9 +90,8 @@
 	// another one for a server. Clients also have idle connections, and some that never send anything. So servers
 	// get slightly less than half.
 	servers := (config.Sockets - reservedSockets) * 9 / 20
-	memory := planMemory(config.MemoryMB)
-	messageMemory := budget.New(memory.messageBytes)
-	clients := newClientConns(memory.limitClients(config.Sockets-reservedSockets-servers), messageMemory)
+	memory := planMemory(config.MemoryMB, config.Sockets-reservedSockets-servers)
+	clients := newClientConns(memory.maxClients, budget.New(memory.messageBytes))
 	upstream := newUpstream(config.Settings.ConnIdleTimeout, config.Settings.ConnectTimeout, servers)
 	discovery := newDiscoveryClient(config.Discovery, config.Settings, clock, log)
 	loop, err := newLoop(settings, config.Seed, clock, upstream, discovery.commands)
