--- a/internal/node/client_memory.go
+++ b/internal/node/client_memory.go
@@ -163,6 +163,7 @@
 // refuseMessage answers a message that is refused. The connection of one that came slowly closes at once: net/http
 // would keep it, and its memory, for another half second.
 func (f *front) refuseMessage(w http.ResponseWriter, why *refusal) {
+	f.loop.metrics.messagesRefused.Add(1)
 	f.clients.log.Debug("message refused", "code", why.code, "reason", why.reason)
 	w.Header().Set("Connection", "close")
 	if why.code != http.StatusServiceUnavailable {
