node: answer a message that is refused just as its last part arrives

Found by reading: a message that is refused for being slow while its last part is read was closed with no answer (its head counted as handed out), or forwarded and then closed (its body was whole, and its connection still in the list of those that may be refused). Both are requests that were read.

Change: the connection knows whether net/http has got the end of the head, and ends it otherwise; a body leaves the list before the refusal is looked at. A refused connection reads nothing more.

The memory test is parted in two with the same checks: the process stays within its limit, and usual clients are served.

--- a/cmd/otterstep/pressure_memory_test.go
+++ b/cmd/otterstep/pressure_memory_test.go
@@ -42,10 +42,28 @@
 	}
 }
 
-// TestPressingClientsStayWithinTheMemoryLimit guards against a process that passes its memory limit, and against usual
-// clients that are late or refused, while more clients than the node accepts make it hold memory and one client sends
-// at full speed.
+// TestPressingClientsStayWithinTheMemoryLimit guards against a process that passes its memory limit while more clients
+// than the node accepts make it hold memory and one client sends at full speed.
 func TestPressingClientsStayWithinTheMemoryLimit(t *testing.T) {
+	forEachMemoryShape(t, func(t *testing.T, limits nodeLimits, shape memoryShape, duration time.Duration) {
+		node, load := pressNode(t, limits, shape, duration)
+		t.Log(load)
+		node.requirePeakMemory(t, limits.memoryMB)
+	})
+}
+
+// TestUsualClientsAreServedBesideThoseThatHoldMemory guards against usual clients that are late, refused or never answered
+// beside the same clients.
+func TestUsualClientsAreServedBesideThoseThatHoldMemory(t *testing.T) {
+	forEachMemoryShape(t, func(t *testing.T, limits nodeLimits, shape memoryShape, duration time.Duration) {
+		node, load := pressNode(t, limits, shape, duration)
+		load.requireServed(t, shape.minServed)
+		node.requirePeakMemory(t, limits.memoryMB)
+	})
+}
+
+// forEachMemoryShape runs a check of each shape, with the least memory or with all limits.
+func forEachMemoryShape(t *testing.T, check func(t *testing.T, limits nodeLimits, shape memoryShape, duration time.Duration)) {
 	limits, duration := []nodeLimits{{32, 1024}}, 2*time.Second
 	if isFullPressure() {
 		limits = []nodeLimits{{32, 1024}, {32, 256}, {64, 1024}, {64, 256}, {192, 1024}, {192, 256}}
@@ -54,20 +72,19 @@
 	for _, limit := range limits {
 		for _, shape := range memoryShapes() {
 			t.Run(fmt.Sprintf("%d MB, %d sockets, %s", limit.memoryMB, limit.sockets, shape.name), func(t *testing.T) {
-				pressNode(t, limit, shape, duration)
+				check(t, limit, shape, duration)
 			})
 		}
 	}
 }
 
-// pressNode runs clients against a node with the given limits, beside one client at full speed, and checks the memory
-// of the node and the answers to its usual clients.
-func pressNode(t *testing.T, limits nodeLimits, shape memoryShape, duration time.Duration) {
+// pressNode runs clients against a node with the given limits, beside one client at full speed, and returns how its usual
+// clients fared.
+func pressNode(t *testing.T, limits nodeLimits, shape memoryShape, duration time.Duration) (*pressedNode, usualLoad) {
 	node := startPressedNode(t, limits, isFullPressure())
 	defer startPressingClients(limits.sockets*6/10, shape.client, node.addr)()
 	fullSpeed := pressingClient{request: literal(strings.Repeat("GET /up HTTP/1.1\r\nHost: api\r\n\r\n", 100)), pipelined: 1}
 	defer startPressingClients(1, fullSpeed, node.addr)()
 	time.Sleep(pressureWarmUp)
-	node.sendUsualLoad(duration).requireServed(t, shape.minServed)
-	node.requirePeakMemory(t, limits.memoryMB)
+	return node, node.sendUsualLoad(duration)
 }
--- a/internal/node/client_conn.go
+++ b/internal/node/client_conn.go
@@ -36,7 +36,9 @@
 	message    atomic.Pointer[budget.Reservation] // memory of the present message; nil between two messages
 	headFields int                                // number of fields of the present head so far
 	headBytes  int                                // bytes of the present head that were handed to net/http
-	refusal    atomic.Pointer[refusal]            // reason to refuse the present message; nil: none
+	// headHandedOut is set once net/http has got the end of the present head.
+	headHandedOut bool
+	refusal       atomic.Pointer[refusal] // reason to refuse the present message; nil: none
 }
 
 // clientConnKey is the key of a connection in the contexts of its requests.
@@ -74,6 +76,9 @@
 	if len(b) == 1 && !c.isWaiting() {
 		return 0, c.awaitClose()
 	}
+	if c.refusal.Load() != nil {
+		return c.endHead(b)
+	}
 	part, err := c.receive(b)
 	if part.isHead && part.bytes > 0 {
 		c.countHead(part)
@@ -81,6 +86,10 @@
 	if c.refusal.Load() != nil {
 		return c.endHead(b)
 	}
+	if part.isHead {
+		c.headBytes += part.bytes
+		c.headHandedOut = c.headHandedOut || part.endsHead
+	}
 	return part.bytes, err
 }
 
--- a/internal/node/client_input.go
+++ b/internal/node/client_input.go
@@ -87,20 +87,6 @@
 	return part
 }
 
-// isHeadEnded reports whether the latest head was handed out whole.
-func (in *clientInput) isHeadEnded() bool {
-	in.mu.Lock()
-	defer in.mu.Unlock()
-	return in.headEnded
-}
-
-// endHead makes the present head count as handed out whole.
-func (in *clientInput) endHead() {
-	in.mu.Lock()
-	defer in.mu.Unlock()
-	in.headEnded = true
-}
-
 // advance follows the present message through data up to the end of its head or body. The caller holds the lock.
 func (in *clientInput) advance(data []byte) messagePart {
 	if in.bodyLeft > 0 {
--- a/internal/node/client_memory.go
+++ b/internal/node/client_memory.go
@@ -56,10 +56,10 @@
 // endHead ends the head of a message that is refused, so that net/http calls the handler. Reading a body or another
 // head after that fails.
 func (c *clientConn) endHead(b []byte) (int, error) {
-	if c.input.isHeadEnded() {
+	if c.headHandedOut {
 		return 0, context.DeadlineExceeded
 	}
-	c.input.endHead()
+	c.headHandedOut = true
 	if c.headBytes == 0 {
 		return copy(b, replacedHead), nil
 	}
@@ -71,7 +71,7 @@
 func (c *clientConn) countHead(part messagePart) {
 	if c.message.Load() == nil {
 		c.message.Store(c.owner.memory.NewReservation(freeMessageBytes))
-		c.headFields, c.headBytes = 0, 0
+		c.headFields, c.headBytes, c.headHandedOut = 0, 0, false
 	}
 	c.owner.headReceived(c, part.endsHead)
 	c.headFields += part.fields
@@ -83,9 +83,6 @@
 		c.refuse(refusedNoMemory)
 		return
 	}
-	if c.refusal.Load() == nil {
-		c.headBytes += part.bytes
-	}
 }
 
 // growMessage counts memory of the present message, and waits for it. It returns false if the memory is not there in
@@ -145,6 +142,7 @@
 	f.clients.setBodyState(c, &f.clients.readingBody)
 	c.input.expectBody(r.ContentLength)
 	body, err := readBody(r)
+	f.clients.setBodyState(c, nil) // from here on the message can't be refused any more
 	if why := c.refusal.Load(); why != nil {
 		return nil, why
 	}
