--- a/review/lab2/case.go
+++ b/review/lab2/case.go
@@ -9,8 +9,10 @@
 	"net"
 	"net/http"
 	"os"
+	"os/signal"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -46,6 +48,9 @@
 		os.Exit(NotRun)
 	}
 	c := &Case{Record: record, Root: os.Args[1], Dir: dir}
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM, syscall.SIGHUP)
+	go func() { c.end(NotRun, fmt.Errorf("ended by the signal %v", <-signals)) }()
 	time.AfterFunc(maxCaseTime, func() { c.end(NotRun, errors.New("the case took too long")) })
 	c.Log("trouble: %v", Trouble())
 	result, err := run(c)
@@ -61,7 +66,12 @@
 	c.ended = true
 	c.mu.Unlock()
 	for _, n := range c.Nodes {
-		n.Kill()
+		select {
+		case ended := <-n.Exited:
+			err = errors.Join(err, fmt.Errorf("node %s has ended by itself: %v", n.Name, ended))
+		default:
+			n.Kill()
+		}
 	}
 	if err != nil {
 		c.Say("could not run: %v", err)
--- a/review/lab2/lab.go
+++ b/review/lab2/lab.go
@@ -12,6 +12,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"runtime"
 	"strconv"
 	"strings"
 	"sync"
@@ -280,6 +281,25 @@
 	return n, os.WriteFile(n.configPath, text, 0o600)
 }
 
+// starts holds the processes to start.
+var starts = sync.OnceValue(func() chan<- func() {
+	todo := make(chan func())
+	go func() {
+		runtime.LockOSThread() // the thread lives as long as this process
+		for start := range todo {
+			start()
+		}
+	}()
+	return todo
+})
+
+// onStarterThread calls start on the one thread that starts all processes: they end with it, whatever becomes of this process.
+func onStarterThread(start func() error) error {
+	result := make(chan error)
+	starts() <- func() { result <- start() }
+	return <-result
+}
+
 // Start starts the node's process and waits until it is ready.
 func (n *Node) Start() error {
 	log, err := os.OpenFile(filepath.Join(n.dir, n.Name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
@@ -289,7 +309,8 @@
 	n.cmd = exec.Command("/bin/sh", "-c", n.runCommand)
 	n.cmd.Dir, n.cmd.Stdout, n.cmd.Stderr = n.root, log, log
 	n.cmd.Env = append(os.Environ(), "PROXY_NAME="+n.Name, "PROXY_LISTEN="+n.Addr, "PROXY_CONFIG="+n.configPath, "TMPDIR="+n.dir)
-	if err := n.cmd.Start(); err != nil {
+	n.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := onStarterThread(n.cmd.Start); err != nil {
 		return err
 	}
 	n.Exited = make(chan error, 1)
