--- a/review/lab2/case.go
+++ b/review/lab2/case.go
@@ -37,12 +37,12 @@
 		fmt.Fprintln(os.Stderr, "usage: case ROOT RECORD")
 		os.Exit(NotRun)
 	}
-	dir, err := os.MkdirTemp("", "review-")
+	record, err := NewRecord(os.Args[2])
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(NotRun)
 	}
-	record, err := NewRecord(os.Args[2])
+	dir, err := os.MkdirTemp("", "review-")
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(NotRun)
