node: refuse heads that two readers could understand differently

With the coding alone it was forwarded with an empty body.

Cause: the handler asks net/http for the coding (front.parseRequest), and net/http drops that field in HTTP/1.0 before it calls the handler. No check of an http.Request can see it; the same request of HTTP/1.1 got 411. A length that was given twice and folded lines were joined by net/http in both versions.

Change: headScanner follows each head in the reader of the connection, byte by byte and in constant memory. A head with a Transfer-Encoding (411), with more than one Content-Length or one that is not digits alone, or with a line that is no field of RFC 9112 (400) is refused at its end, before net/http parses it; the connection reads nothing more. The reader takes the length of a body from the head, not from the handler. Requests in front of a refused one on its connection are answered as before, and memory and yields are counted as before. It works because the reader sees every byte that net/http gets, and the stricter of the two views decides.

Evidence: TestRequestsWithAmbiguousFramingAreRefused (34 framings, both versions, kept or not, whole, in pieces of 97 bytes, behind a sound request) failed before: with both fields on a kept connection the request and the hidden one ran in 6 of 6 rows played. TestRequestWithACodingAndNothingBehindItIsRefused failed in 4 of 4 rows. TestRequestsWithSoundFramingAreServed passes before and after.

Heads with a coding, sent at full speed or by 614 clients, leave usual clients served and the peak of memory at 19 MiB of 32 (two new rows, which the soak draws too).

--- a/cmd/otterstep/pressing_clients_test.go
+++ b/cmd/otterstep/pressing_clients_test.go
@@ -200,6 +200,14 @@
 	return func() string { return requestText(http.MethodPost, "book", key, headerLines, bodyBytes) }
 }
 
+// bookWithCoding returns a source of POST requests of HTTP/1.0 with a length and a coding, which have to be refused.
+func bookWithCoding(headerLines string) func() string {
+	return func() string {
+		text := requestText(http.MethodPost, "book", "k", "Connection: keep-alive\r\nTransfer-Encoding: chunked\r\n"+headerLines, 4)
+		return strings.Replace(text, "HTTP/1.1", "HTTP/1.0", 1)
+	}
+}
+
 // literal returns a source of one text.
 func literal(text string) func() string { return func() string { return text } }
 
--- a/cmd/otterstep/pressure_core_test.go
+++ b/cmd/otterstep/pressure_core_test.go
@@ -42,6 +42,7 @@
 		{"requests under new ids", 6, pressingClient{request: read("k", ""), pipelined: 20}, 0, minServedWithACore},
 		{"long names", 6, pressingClient{request: longName, pipelined: 20}, 0, minServedWithACore},
 		{"unsound heads", 6, pressingClient{request: literal(strings.Repeat("GET /read/1 HTTP/1.1\r\nno colon\r\n\r\n", 20)), pipelined: 20}, 0, minServedWithACore},
+		{"heads with a length and a coding", 6, pressingClient{request: bookWithCoding(""), pipelined: 20}, 0, minServedWithACore},
 		{"noise", 6, pressingClient{request: literal(strings.Repeat("\x00\x01\xff\xfe", 16<<10))}, 0, minServedWithACore},
 		{"noise behind an open request", 6, pressingClient{ignoresAll: true, request: requestThenNoise()}, 0, minServedWithACore},
 		{"new connections", 40, pressingClient{request: literal(upRequest), isPerRequest: true}, 0, minServedWithACore},
--- a/cmd/otterstep/pressure_memory_test.go
+++ b/cmd/otterstep/pressure_memory_test.go
@@ -28,6 +28,7 @@
 		{"heads of many short fields in pieces", pressingClient{request: read("k", manyFields), pieceBytes: 600, pause: 60 * time.Millisecond}, minServedWithACore},
 		{"heads of one repeated field", pressingClient{request: read(slowKey, repeatedFields("X-Facts:", pressingHeadBytes-512))}, minServedWithACore},
 		{"heads of few long fields at a slow server", pressingClient{request: read(slowKey, longFields(pressingHeadBytes-512))}, minServedBesideGoodRequests},
+		{"heads of few long fields with a length and a coding", pressingClient{request: bookWithCoding(longFields(pressingHeadBytes - 512))}, minServedWithACore},
 		{"a body that stops", pressingClient{request: book("k", "", 64<<10), stopsAfter: 40 << 10}, minServedWithACore},
 		{"a body in pieces", pressingClient{request: book("k", "", 64<<10), pieceBytes: 2 << 10, pause: 60 * time.Millisecond}, minServedWithACore},
 		{"a small body that stops", pressingClient{request: book("k", "", 4<<10), stopsAfter: 3 << 10}, minServedWithACore},
--- a/internal/node/client_input.go
+++ b/internal/node/client_input.go
@@ -22,28 +22,20 @@
 // what has arrived after a request is known before the request is forwarded and before it is answered.
 // It is safe for concurrent use.
 type clientInput struct {
-	mu         sync.Mutex
-	pipelined  []byte              // data after the part of a message that is handed out
-	memory     *budget.Reservation // memory of pipelined; nil while there is none
-	bodyLeft   int64               // bytes of the present body that have not been handed out
-	lineLength int                 // bytes of the present line of the head, without line breaks
-	headLines  int                 // lines of the present head that were handed out
-	headEnded  bool                // the present head was handed out whole
+	mu        sync.Mutex
+	pipelined []byte              // data after the part of a message that is handed out
+	memory    *budget.Reservation // memory of pipelined; nil while there is none
+	bodyLeft  int64               // bytes of the present body that have not been handed out
+	head      headScanner         // follows the present head
 }
 
 // messagePart is a part of a message that is handed to net/http.
 type messagePart struct {
 	bytes    int
-	isHead   bool // the part belongs to a head; false: to a body
-	fields   int  // lines of the head that end in the part
-	endsHead bool // the head ends with the part
-}
-
-// expectBody makes the next bytes count as a body of a length.
-func (in *clientInput) expectBody(length int64) {
-	in.mu.Lock()
-	defer in.mu.Unlock()
-	in.bodyLeft = length
+	isHead   bool     // the part belongs to a head; false: to a body
+	fields   int      // lines of the head that end in the part
+	endsHead bool     // the head ends with the part
+	refusal  *refusal // reason to refuse the message whose head ends with the part; nil: none
 }
 
 // take moves pipelined data into b, up to the end of a head or body.
@@ -94,25 +86,19 @@
 		in.bodyLeft -= n
 		return messagePart{bytes: int(n)}
 	}
-	if len(data) > 0 && in.headEnded {
-		in.headEnded, in.headLines = false, 0
-	}
 	part := messagePart{isHead: true, bytes: len(data)}
 	for i, b := range data {
-		switch b {
-		case '\r':
-		case '\n':
-			isBlank := in.lineLength == 0
-			in.lineLength = 0
-			if isBlank {
-				in.headEnded = in.headLines > 0 // empty lines may stand before a head
-				part.bytes, part.endsHead = i+1, in.headEnded
-				return part
-			}
-			in.headLines++
+		switch in.head.scan(b) {
+		case headLineEnds:
 			part.fields++
-		default:
-			in.lineLength++
+		case emptyLineEnds:
+			part.bytes = i + 1
+			return part
+		case headEnds:
+			part.bytes, part.endsHead, part.refusal = i+1, true, in.head.refusal
+			in.bodyLeft = in.head.contentLength
+			in.head = headScanner{}
+			return part
 		}
 	}
 	return part
--- a/internal/node/client_memory.go
+++ b/internal/node/client_memory.go
@@ -66,8 +66,8 @@
 	return copy(b, endOfHead), nil
 }
 
-// countHead counts a part of a head before net/http parses it. It refuses the message if it has too many fields or
-// takes memory that is not there.
+// countHead counts a part of a head before net/http parses it. It refuses the message if it has too many fields, takes
+// memory that is not there, or can be understood in two ways.
 func (c *clientConn) countHead(part messagePart) {
 	if c.message.Load() == nil {
 		c.message.Store(c.owner.memory.NewReservation(freeMessageBytes))
@@ -83,6 +83,9 @@
 		c.refuse(refusedNoMemory)
 		return
 	}
+	if part.refusal != nil {
+		c.refuse(part.refusal)
+	}
 }
 
 // growMessage counts memory of the present message, and waits for it. It returns false if the memory is not there in
@@ -140,7 +143,6 @@
 		return nil, refusedNoMemory
 	}
 	f.clients.setBodyState(c, &f.clients.readingBody)
-	c.input.expectBody(r.ContentLength)
 	body, err := readBody(r)
 	f.clients.setBodyState(c, nil) // from here on the message can't be refused any more
 	if why := c.refusal.Load(); why != nil {
--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -186,10 +186,8 @@
 func (f *front) parseRequest(r *http.Request, receivedAt time.Duration) (
 	policyRequest policy.Request, outgoing *upstreamRequest, err error) {
 	if len(r.TransferEncoding) > 0 {
-		// A request with both lengths may hide a second request in its body (request smuggling).
-		// net/http has already dropped a Content-Length beside the Transfer-Encoding, so all
-		// requests with a Transfer-Encoding are invalid; clients send a length.
-		return policyRequest, nil, &clientError{http.StatusLengthRequired, "Transfer-Encoding is not taken, send a Content-Length"}
+		// The reader of a clientConn refuses such a request before net/http sees it.
+		return policyRequest, nil, refusedTransferCoding
 	}
 	singleHeader := func(name string) string {
 		if values := r.Header[name]; len(values) > 1 && err == nil {
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -30,7 +30,7 @@
 		{"otterstep_lists_overdue_total",
 			"Times that nothing was heard from discovery for longer than a change may take to count as told.", &m.listsOverdue},
 		{"otterstep_messages_refused_total",
-			"Messages of clients refused for their memory, fields or slowness, or for lack of connections.", &m.messagesRefused},
+			"Messages of clients refused for their framing, memory, fields or slowness, or for lack of connections.", &m.messagesRefused},
 		{"otterstep_servers_held_total",
 			"Times that a server listed in service was held out of service as its source may lag.", &m.serversHeld},
 	} {
