node: answer "OPTIONS *" with an error

Cause: net/http answers "OPTIONS *" by itself, before the handler is called, unless http.Server.DisableGeneralOptionsHandler is set.

Change: newClientServer, taken out of serve, sets it. The front then refuses the request like any other target of no class: 400 and a close.

Evidence: TestOptionsOfTheNodeItselfGetAnError failed before in the ten rows with the target "*" (both versions; alone, with the fields of a request, a body, Upgrade, a close; each also behind a sound request), and passed in the 30 with other targets, which reach the front. With the option alone changed all 40 pass.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -80,6 +80,19 @@
 	return longestDeadline(classes) + answerWriteMargin
 }
 
+// newClientServer returns the server that has a front answer clients. Each answer must be written within writeTimeout of the
+// end of its request's head.
+func newClientServer(front *front, clients *clientConns, writeTimeout time.Duration, log *slog.Logger) *http.Server {
+	return &http.Server{
+		Handler: front, ConnState: clients.onConnState, ConnContext: clients.connContext,
+		ReadHeaderTimeout: readTimeout, ReadTimeout: readTimeout, WriteTimeout: writeTimeout, IdleTimeout: idleTimeout,
+		MaxHeaderBytes: maxHeaderBytes,
+		// Without it, net/http would answer "OPTIONS *" with a 200 by itself, as if a server had run the request.
+		DisableGeneralOptionsHandler: true,
+		ErrorLog:                     slog.NewLogLogger(log.Handler(), slog.LevelDebug),
+	}
+}
+
 // serve runs a node on a listener until ctx ends and the node has drained. See Run.
 func serve(ctx context.Context, config Config, listener net.Listener, reloader ConfigReloader, log *slog.Logger) error {
 	defer listener.Close()
@@ -134,12 +147,7 @@
 	go clients.evictPeriodically(background)
 
 	front := newFront(loop, config.Settings, clients, ready.Load)
-	server := http.Server{
-		Handler: front, ReadHeaderTimeout: readTimeout, ReadTimeout: readTimeout,
-		WriteTimeout: answerWriteTimeout(settings.Classes), IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ConnState: clients.onConnState, ConnContext: clients.connContext,
-		ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelDebug),
-	}
+	server := newClientServer(front, clients, answerWriteTimeout(settings.Classes), log)
 	serveErr := make(chan error, 1)
 	go func() { serveErr <- server.Serve(clients.listener(listener)) }()
 	select {
