node: answer any method but GET and HEAD for its own pages with an error

Cause: the front decided by the path alone.

They take GET and HEAD without a body; any other method gets 405 with Allow, a body 400, and both close the connection.

--- a/internal/node/client_head_test.go
+++ b/internal/node/client_head_test.go
@@ -58,6 +58,13 @@
 
 // exchange sends pieces of text on a new connection and reads answers until the connection ends, as it has to within maxErrorTime.
 func exchange(t *testing.T, addr string, pieces []string) (answers []rawAnswer) {
+	t.Helper()
+	return exchangeMethods(t, addr, pieces)
+}
+
+// exchangeMethods is exchange for requests of given methods, which decide whether an answer has a body. Those that are not given
+// are taken for ones with a body in their answer.
+func exchangeMethods(t *testing.T, addr string, pieces []string, methods ...string) (answers []rawAnswer) {
 	t.Helper()
 	c, err := net.Dial("tcp", addr)
 	if err != nil {
@@ -73,7 +80,11 @@
 		}
 	}()
 	for in := bufio.NewReader(c); ; {
-		resp, err := http.ReadResponse(in, nil)
+		var request *http.Request
+		if len(answers) < len(methods) {
+			request = &http.Request{Method: methods[len(answers)]}
+		}
+		resp, err := http.ReadResponse(in, request)
 		if timeout, ok := err.(net.Error); ok && timeout.Timeout() {
 			t.Errorf("the connection stays open after %+v", answers)
 			return answers
--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -57,25 +57,18 @@
 	return &clientError{http.StatusBadRequest, fmt.Sprintf(format, args...)}
 }
 
-// ServeHTTP implements http.Handler. It answers health checks and requests for metrics itself, and
-// has the loop answer all others.
+// ServeHTTP implements http.Handler. It answers requests for the node's own pages itself, and has the loop answer all others.
 func (f *front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	receivedAt := f.loop.clock.now()
-	_, metricsIsClass := f.classIndex[metricsPath[1:]]
-	switch why := refusalOf(r); {
-	case why != nil:
+	if why := refusalOf(r); why != nil {
 		f.refuseMessage(w, why)
-	case r.URL.Path == "/up":
-		f.close(w, r)
-		if !f.isReady() {
-			http.Error(w, "not ready", http.StatusServiceUnavailable)
-		}
-	case r.URL.Path == metricsPath && !metricsIsClass:
-		f.close(w, r)
-		f.loop.metrics.write(w)
-	default:
-		f.serveRequest(w, r, receivedAt)
+		return
+	}
+	if writePage := f.pageOf(r); writePage != nil {
+		f.servePage(w, r, writePage)
+		return
 	}
+	f.serveRequest(w, r, receivedAt)
 }
 
 // serveRequest receives a client's request and answers it.
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -6,9 +6,6 @@
 	"sync/atomic"
 )
 
-// metricsPath serves the metrics in the text format of Prometheus, unless a class of requests has that name.
-const metricsPath = "/metrics"
-
 // metrics holds the counters of a node. They are safe for concurrent use.
 type metrics struct {
 	drainViolations    atomic.Int64 // attempts that began after the drain grace of a server out of service
--- a/internal/node/pages_test.go
+++ b/internal/node/pages_test.go
@@ -57,3 +57,52 @@
 		}
 	}
 }
+
+// pageTargets are targets of the node's own pages.
+var pageTargets = []string{"/up", "/%75p", "/up?verbose", "http://api.internal/up", "/metrics", "/%6detrics", "http://api.internal/metrics"}
+
+// TestPagesOfTheNodeRefuseOtherMethods guards against a 200 of the node's own pages for a request that a client takes for run, and
+// against a request that is hidden in the body of one for a page.
+func TestPagesOfTheNodeRefuseOtherMethods(t *testing.T) {
+	s := newIDRecorder(t)
+	addr, _ := startNode(t, newFakeDiscovery(t, inServiceEntry(s.fakeServer, "s1")))
+	for _, target := range pageTargets {
+		for _, method := range []string{"POST", "PUT", "PATCH", "DELETE", "OPTIONS", "TRACE", "CONNECT", "REPORT", "GET with a body", "HEAD with a body"} {
+			for _, version := range []string{"HTTP/1.0", "HTTP/1.1"} {
+				t.Run(fmt.Sprint(method, " ", target, " ", version), func(t *testing.T) {
+					method, hasBody := strings.CutSuffix(method, " with a body")
+					hidden := rawRequest(t, "book")
+					lines, body := []string{"Content-Length: 0"}, ""
+					if hasBody || method == "POST" {
+						lines, body = []string{fmt.Sprint("Content-Length: ", len(hidden))}, hidden
+					}
+					_, fields, _ := strings.Cut(rawBook(t, version, body, append(lines, "Connection: keep-alive")...), "\r\n")
+					requireNotServed(t, s, addr, fmt.Sprintf("%s %s %s\r\n%s", method, target, version, fields))
+					if s.hasRun(idOf(hidden)) {
+						t.Error("a server has run the request in the body")
+					}
+				})
+			}
+		}
+	}
+}
+
+// TestPagesOfTheNodeTakeGETAndHEAD guards against health checks that are refused, and against pages that close their connection.
+func TestPagesOfTheNodeTakeGETAndHEAD(t *testing.T) {
+	s := newIDRecorder(t)
+	addr, _ := startNode(t, newFakeDiscovery(t, inServiceEntry(s.fakeServer, "s1")))
+	for _, target := range pageTargets {
+		for _, method := range []string{http.MethodGet, http.MethodHead} {
+			for _, version := range []string{"HTTP/1.0", "HTTP/1.1"} {
+				t.Run(fmt.Sprint(method, " ", target, " ", version), func(t *testing.T) {
+					page := fmt.Sprintf("%s %s %s\r\nHost: api\r\nConnection: keep-alive\r\n\r\n", method, target, version)
+					behind := rawBook(t, "HTTP/1.1", "", "Content-Length: 0", "Connection: close")
+					answers := exchangeMethods(t, addr, []string{page, behind}, method, http.MethodPost)
+					if len(answers) != 2 || answers[0].code != http.StatusOK || answers[1].code != http.StatusOK || answers[1].body != idOf(behind) {
+						t.Errorf("answers %+v, want the page and the request behind it", answers)
+					}
+				})
+			}
+		}
+	}
+}
