--- a/internal/node/client_head_test.go
+++ b/internal/node/client_head_test.go
@@ -97,6 +97,21 @@
 	}
 }
 
+// requireOneError requires that a request is answered with one error and a close, behind the answer of a sound request in front of it
+// unless that is empty.
+func requireOneError(t *testing.T, answers []rawAnswer, front string) {
+	t.Helper()
+	if front != "" {
+		if len(answers) == 0 || answers[0].code != http.StatusOK || answers[0].body != idOf(front) {
+			t.Fatalf("answers %+v, want the request in front served", answers)
+		}
+		answers = answers[1:]
+	}
+	if len(answers) != 1 || answers[0].code < 400 || !answers[0].closes {
+		t.Errorf("answers %+v, want one error and a close", answers)
+	}
+}
+
 // piecesOf cuts a text into pieces.
 func piecesOf(text string, size int) (pieces []string) {
 	for piece := range slices.Chunk([]byte(text), size) {
@@ -192,15 +207,7 @@
 							pieces = []string{front + bad}
 						}
 						answers := exchange(t, addr, pieces)
-						if front != "" {
-							if len(answers) == 0 || answers[0].code != http.StatusOK || answers[0].body != idOf(front) {
-								t.Fatalf("answers %+v, want the request in front served", answers)
-							}
-							answers = answers[1:]
-						}
-						if len(answers) != 1 || answers[0].code < 400 || !answers[0].closes {
-							t.Errorf("answers %+v, want one error and a close", answers)
-						}
+						requireOneError(t, answers, front)
 						if s.hasRun(idOf(bad)) || s.hasRun(idOf(hidden)) {
 							t.Errorf("run: the request %v, the hidden one %v", s.hasRun(idOf(bad)), s.hasRun(idOf(hidden)))
 						}
--- a/internal/node/pages_test.go
+++ b/internal/node/pages_test.go
@@ -12,16 +12,7 @@
 	t.Helper()
 	sound := rawRequest(t, "book")
 	for _, front := range []string{"", sound} {
-		answers := exchange(t, addr, []string{front + text})
-		if front != "" {
-			if len(answers) == 0 || answers[0].code != http.StatusOK || answers[0].body != idOf(front) {
-				t.Fatalf("answers %+v, want the request in front served", answers)
-			}
-			answers = answers[1:]
-		}
-		if len(answers) != 1 || answers[0].code < 400 || !answers[0].closes {
-			t.Errorf("answers %+v, want one error and a close", answers)
-		}
+		requireOneError(t, exchange(t, addr, []string{front + text}), front)
 	}
 	if id := idOf(text); id != "" && s.hasRun(id) {
 		t.Error("a server has run it")
