--- a/internal/node/client_conn.go
+++ b/internal/node/client_conn.go
@@ -33,12 +33,16 @@
 	// lost, so the connection must close.
 	pipelineOverflowed atomic.Bool
 
-	message    atomic.Pointer[budget.Reservation] // memory of the present message; nil between two messages
-	headFields int                                // number of fields of the present head so far
-	headBytes  int                                // bytes of the present head that were handed to net/http
-	// headHandedOut is set once net/http has got the end of the present head.
-	headHandedOut bool
-	refusal       atomic.Pointer[refusal] // reason to refuse the present message; nil: none
+	message atomic.Pointer[budget.Reservation] // memory of the present message; nil between two messages
+	head    headProgress                       // how far the present head has come
+	refusal atomic.Pointer[refusal]            // reason to refuse the present message; nil: none
+}
+
+// headProgress is how far a head has come on its way to net/http.
+type headProgress struct {
+	lines          int  // number of lines that have arrived
+	handedOutBytes int  // number of bytes that net/http has got
+	isHandedOut    bool // net/http has got the end of the head
 }
 
 // clientConnKey is the key of a connection in the contexts of its requests.
@@ -87,8 +91,8 @@
 		return c.endHead(b)
 	}
 	if part.isHead {
-		c.headBytes += part.bytes
-		c.headHandedOut = c.headHandedOut || part.endsHead
+		c.head.handedOutBytes += part.bytes
+		c.head.isHandedOut = c.head.isHandedOut || part.endsHead
 	}
 	return part.bytes, err
 }
--- a/internal/node/client_head.go
+++ b/internal/node/client_head.go
@@ -2,17 +2,9 @@
 
 import (
 	"math"
-	"net/http"
 	"strings"
 )
 
-// The refusals of heads that do not say in one way where their message ends.
-var (
-	refusedTransferCoding = &refusal{http.StatusLengthRequired, "Transfer-Encoding is not taken, send a Content-Length"}
-	refusedContentLength  = &refusal{http.StatusBadRequest, "Content-Length: not one decimal number"}
-	refusedMalformedHead  = &refusal{http.StatusBadRequest, "malformed line in the head"}
-)
-
 // The names of the fields that say where a message ends, in lower case.
 const (
 	contentLengthName    = "content-length"
--- a/internal/node/client_input.go
+++ b/internal/node/client_input.go
@@ -33,7 +33,7 @@
 type messagePart struct {
 	bytes    int
 	isHead   bool     // the part belongs to a head; false: to a body
-	fields   int      // lines of the head that end in the part
+	lines    int      // lines of the head that end in the part
 	endsHead bool     // the head ends with the part
 	refusal  *refusal // reason to refuse the message whose head ends with the part; nil: none
 }
@@ -90,7 +90,7 @@
 	for i, b := range data {
 		switch in.head.scan(b) {
 		case headLineEnds:
-			part.fields++
+			part.lines++
 		case emptyLineEnds:
 			part.bytes = i + 1
 			return part
--- a/internal/node/client_memory.go
+++ b/internal/node/client_memory.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"otterstep/internal/budget"
-	"otterstep/policy"
 )
 
 const (
@@ -21,65 +20,20 @@
 	maxMemoryWait = 100 * time.Millisecond
 )
 
-// refusal is the error of a message that is refused before it has been received. Its request was not forwarded.
-type refusal struct {
-	code   int    // status code of the answer
-	reason string // reason for the log, and text of an answer that is no refusal in the policy's sense
-}
-
-// Error implements error.
-func (r *refusal) Error() string { return r.reason }
-
-// The refusals of messages.
-var (
-	refusedTooManyFields = &refusal{http.StatusRequestHeaderFieldsTooLarge, "too many fields"}
-	refusedNoRoom        = &refusal{http.StatusServiceUnavailable, "too many open requests"}
-	refusedNoMemory      = &refusal{http.StatusServiceUnavailable, "no memory for the message"}
-	refusedSlowForMemory = &refusal{http.StatusServiceUnavailable, "the message came slowly, and others need its memory"}
-	refusedSlowForRoom   = &refusal{http.StatusServiceUnavailable, "the message came slowly, and others need its connection"}
-)
-
-// refusalOf returns why the message of a request is refused, or nil.
-func refusalOf(r *http.Request) *refusal {
-	if c := connOf(r); c != nil {
-		return c.refusal.Load()
-	}
-	return nil
-}
-
-// The texts that end a head whose message is refused. A head of which nothing was handed out yet is replaced.
-const (
-	replacedHead = "GET / HTTP/1.1\r\nHost: refused\r\n\r\n"
-	endOfHead    = "\r\n\r\n"
-)
-
-// endHead ends the head of a message that is refused, so that net/http calls the handler. Reading a body or another
-// head after that fails.
-func (c *clientConn) endHead(b []byte) (int, error) {
-	if c.headHandedOut {
-		return 0, context.DeadlineExceeded
-	}
-	c.headHandedOut = true
-	if c.headBytes == 0 {
-		return copy(b, replacedHead), nil
-	}
-	return copy(b, endOfHead), nil
-}
-
 // countHead counts a part of a head before net/http parses it. It refuses the message if it has too many fields, takes
 // memory that is not there, or can be understood in two ways.
 func (c *clientConn) countHead(part messagePart) {
 	if c.message.Load() == nil {
 		c.message.Store(c.owner.memory.NewReservation(freeMessageBytes))
-		c.headFields, c.headBytes, c.headHandedOut = 0, 0, false
+		c.head = headProgress{}
 	}
 	c.owner.headReceived(c, part.endsHead)
-	c.headFields += part.fields
-	if c.headFields > maxHeadFields {
+	c.head.lines += part.lines
+	if c.head.lines > maxHeadFields {
 		c.refuse(refusedTooManyFields)
 		return
 	}
-	if !c.growMessage(int64(part.bytes + part.fields*parsedFieldBytes)) {
+	if !c.growMessage(int64(part.bytes + part.lines*parsedFieldBytes)) {
 		c.refuse(refusedNoMemory)
 		return
 	}
@@ -104,9 +58,6 @@
 	return message.Grow(ctx, bytes, budget.Intake) == nil
 }
 
-// refuse marks the present message as refused, unless it is already.
-func (c *clientConn) refuse(why *refusal) { c.refusal.CompareAndSwap(nil, why) }
-
 // releaseMessage ends the use of the present message's memory by the connection.
 func (c *clientConn) releaseMessage() {
 	if message := c.message.Swap(nil); message != nil {
@@ -159,20 +110,3 @@
 	}
 	return body, nil
 }
-
-// refuseMessage answers a message that is refused. The connection of one that came slowly closes at once: net/http
-// would keep it, and its memory, for another half second.
-func (f *front) refuseMessage(w http.ResponseWriter, why *refusal) {
-	f.loop.metrics.messagesRefused.Add(1)
-	f.clients.log.Debug("message refused", "code", why.code, "reason", why.reason)
-	w.Header().Set("Connection", "close")
-	if why.code != http.StatusServiceUnavailable {
-		http.Error(w, why.reason, why.code)
-	} else {
-		writeAnswer(w, finalAnswer{kind: answerRefused, retryAfter: f.settings.Policy.Limits.MaxRetryAfter, reason: policy.Overload.String()})
-	}
-	if why == refusedSlowForMemory || why == refusedSlowForRoom {
-		_ = http.NewResponseController(w).Flush()
-		panic(http.ErrAbortHandler)
-	}
-}
--- a/internal/node/clients_test.go
+++ b/internal/node/clients_test.go
@@ -360,11 +360,9 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	server := http.Server{
-		Handler:     newFront(l, settings, group, func() bool { return true }),
-		ReadTimeout: testTimeout, ConnContext: group.connContext,
-		ConnState: func(c net.Conn, s http.ConnState) { state(group, c, s) },
-	}
+	server := newClientServer(newFront(l, settings, group, func() bool { return true }), group, testTimeout, group.log)
+	server.ReadTimeout, server.ReadHeaderTimeout = testTimeout, testTimeout
+	server.ConnState = func(c net.Conn, s http.ConnState) { state(group, c, s) }
 	go server.Serve(group.listener(listener))
 	t.Cleanup(func() { server.Close() })
 	return l, listener.Addr().String()
--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -3,11 +3,9 @@
 import (
 	"errors"
 	"fmt"
-	"hash/fnv"
 	"io"
 	"net/http"
 	"strconv"
-	"strings"
 	"sync/atomic"
 	"time"
 
@@ -174,101 +172,6 @@
 	}
 }
 
-// parseRequest checks and converts all of a client's request but its body. It returns a clientError
-// for an invalid request.
-func (f *front) parseRequest(r *http.Request, receivedAt time.Duration) (
-	policyRequest policy.Request, outgoing *upstreamRequest, err error) {
-	if len(r.TransferEncoding) > 0 {
-		// The reader of a clientConn refuses such a request before net/http sees it.
-		return policyRequest, nil, refusedTransferCoding
-	}
-	singleHeader := func(name string) string {
-		if values := r.Header[name]; len(values) > 1 && err == nil {
-			err = badRequest("%s: given twice", name)
-		}
-		return r.Header.Get(name)
-	}
-	id, class, tenant := singleHeader("X-Correlation-Id"), singleHeader("X-Service-Class"), singleHeader("X-Account")
-	timeLeftHeader, hint, idempotencyKey := singleHeader("X-Time-Left"), singleHeader("X-Weight-Hint"), singleHeader("Idempotency-Key")
-	if err != nil {
-		return policyRequest, nil, err
-	}
-	if id == "" {
-		return policyRequest, nil, badRequest("X-Correlation-Id: missing")
-	}
-	var ok bool
-	if policyRequest.Class, ok = f.classIndex[class]; !ok {
-		return policyRequest, nil, badRequest("X-Service-Class: unknown class %q", class)
-	}
-	if policyRequest.Tenant, ok = f.tenantIndex[tenant]; !ok && len(f.tenantIndex) > 0 {
-		return policyRequest, nil, badRequest("X-Account: unknown account %q", tenant)
-	}
-	firstSegment, rest, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
-	if firstSegment != class || !strings.HasPrefix(r.RequestURI, "/"+class) {
-		return policyRequest, nil, badRequest("path %q is not of class %q", r.URL.Path, class)
-	}
-	policyRequest.Key = pathKey(rest)
-	timeLeft, err := parseDuration("X-Time-Left", timeLeftHeader, time.Second)
-	if err != nil {
-		return policyRequest, nil, err
-	}
-	if hint != "" {
-		if policyRequest.WorkHint, err = parseDuration("X-Weight-Hint", hint, time.Microsecond); err != nil {
-			return policyRequest, nil, err
-		}
-	}
-	classSettings := f.settings.Policy.Classes[policyRequest.Class]
-	switch method := r.Method; {
-	case classSettings.Idempotency == policy.Idempotent && method != http.MethodGet,
-		classSettings.Idempotency != policy.Idempotent && method != http.MethodPost:
-		return policyRequest, nil, &clientError{http.StatusMethodNotAllowed, "method does not fit class " + class}
-	case (classSettings.Idempotency == policy.IdempotentByKey) != (idempotencyKey != ""):
-		return policyRequest, nil, badRequest("Idempotency-Key does not fit class %q", class)
-	case method == http.MethodGet && r.ContentLength != 0:
-		return policyRequest, nil, badRequest("a GET has no body here")
-	}
-	if r.ContentLength > maxBodyBytes {
-		return policyRequest, nil, &clientError{http.StatusRequestEntityTooLarge, "body over 64 KiB"}
-	}
-	outgoing = &upstreamRequest{
-		method: r.Method, uri: r.RequestURI, host: r.Host,
-		header: make(http.Header, len(forwardedHeaders)), clientDeadline: receivedAt + min(timeLeft, classSettings.Deadline),
-	}
-	outgoing.valueUntil = outgoing.clientDeadline
-	if target := classSettings.LatencyTarget; target > 0 {
-		target += time.Duration(classSettings.TargetWorkFactor * float64(policyRequest.WorkHint))
-		outgoing.valueUntil = min(outgoing.valueUntil, receivedAt+target)
-	}
-	for _, name := range forwardedHeaders {
-		if values := r.Header[name]; len(values) > 0 {
-			outgoing.header[name] = values
-		}
-	}
-	return policyRequest, outgoing, nil
-}
-
-// parseDuration parses the value of a header that is a decimal number of units. It returns a
-// clientError for more than one hour, because no client waits that long.
-func parseDuration(name, text string, unit time.Duration) (time.Duration, error) {
-	value, err := strconv.ParseFloat(text, 64)
-	if err != nil || !(value >= 0 && value <= float64(time.Hour/unit)) {
-		return 0, badRequest("%s: not a time: %q", name, text)
-	}
-	return time.Duration(value * float64(unit)), nil
-}
-
-// pathKey returns the hash of the last segment of a path without its class, or 0 if that is empty. A
-// hash is never 0.
-func pathKey(path string) uint64 {
-	lastSegment := path[strings.LastIndexByte(path, '/')+1:]
-	if lastSegment == "" {
-		return 0
-	}
-	hash := fnv.New64a()
-	io.WriteString(hash, lastSegment)
-	return max(hash.Sum64(), 1)
-}
-
 // writeAnswer writes a final answer as an HTTP response. It ignores write errors: they mean that the
 // client has disconnected, and the request counts as answered.
 func writeAnswer(w http.ResponseWriter, answer finalAnswer) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -157,7 +157,18 @@
 	}
 
 	log.Info("draining")
-	killAt := time.Now().Add(timeUntilKill(settings.Classes))
+	if err := drain(background, server, front, clients, loop, settings.Classes); err != nil {
+		return err
+	}
+	server.Close()
+	log.Info("stopped", "drain_violations", loop.metrics.drainViolations.Load())
+	return nil
+}
+
+// drain goes on serving for as long as the time until the kill allows, has all requests answered that were read, and shuts the
+// server down.
+func drain(ctx context.Context, server *http.Server, front *front, clients *clientConns, loop *loop, classes []policy.Class) error {
+	killAt := time.Now().Add(timeUntilKill(classes))
 	loop.post(func() { loop.setShutdownDeadline(loop.now + time.Until(killAt) - finalAnswerMargin) })
 	signalledAt := time.Now()
 	for time.Until(killAt) > connectionCloseMargin+closeAfterAnswerTime &&
@@ -170,12 +181,10 @@
 	}
 	clients.evictAllWaiting()
 	time.Sleep(idleCloseTime)
-	shutdownCtx, cancelShutdown := context.WithDeadline(background, killAt)
+	shutdownCtx, cancelShutdown := context.WithDeadline(ctx, killAt)
 	defer cancelShutdown()
 	if err := server.Shutdown(shutdownCtx); err != nil && !errors.Is(err, context.DeadlineExceeded) {
 		return fmt.Errorf("shut down: %w", err)
 	}
-	server.Close()
-	log.Info("stopped", "drain_violations", loop.metrics.drainViolations.Load())
 	return nil
 }
