node: connections whose bodies are discarded can be had for others

Clients would see: on a node that is short of connections, no connection for two seconds while others keep theirs by sending slowly what belongs to a request that was answered with an error. Found by reading, not seen.

Cause: since the reader takes the length of a body from the head, the body of such a request is no longer taken for a head, which had put its connection into the list of those that may be refused for room. net/http reads it to discard it, and no handler waits for it.

Change: a part of a body that no handler waits for puts its connection into the list of those whose body is arriving.

TestConnectionOfADiscardedBodyCanBeHadForOthers failed before (no connection in the list within 20 s) and passes. go test -race ./internal/node passes.

--- a/internal/node/client_conn.go
+++ b/internal/node/client_conn.go
@@ -84,8 +84,12 @@
 		return c.endHead(b)
 	}
 	part, err := c.receive(b)
-	if part.isHead && part.bytes > 0 {
+	switch {
+	case part.bytes == 0:
+	case part.isHead:
 		c.countHead(part)
+	default:
+		c.owner.bodyReceived(c)
 	}
 	if c.refusal.Load() != nil {
 		return c.endHead(b)
--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -151,6 +151,16 @@
 	}
 }
 
+// bodyReceived follows the arrival of a part of a body. Where no handler waits for it, net/http reads the body of an answered
+// request to discard it, and the connection may be had for others.
+func (cc *clientConns) bodyReceived(c *clientConn) {
+	cc.mu.Lock()
+	defer cc.mu.Unlock()
+	if c.list == nil && c.refusal.Load() == nil {
+		c.moveTo(&cc.readingBody)
+	}
+}
+
 // setBodyState moves the connection of a request whose body is expected to another list, or to none if to is nil.
 func (cc *clientConns) setBodyState(c *clientConn, to *list.List) {
 	cc.mu.Lock()
--- a/internal/node/clients_test.go
+++ b/internal/node/clients_test.go
@@ -578,3 +578,26 @@
 }
 
 func (*countingReader) Close() error { return nil }
+
+// TestConnectionOfADiscardedBodyCanBeHadForOthers guards against connections that clients keep beyond the answer to a request by
+// sending its body slowly: net/http discards it, and no handler waits for it.
+func TestConnectionOfADiscardedBodyCanBeHadForOthers(t *testing.T) {
+	s := newFakeServer(t, respondWith(okResponse("x"), true))
+	c, conn := dialFront(t, s)
+	io.WriteString(c, "POST /nope/1 HTTP/1.1\r\nHost: api\r\nContent-Length: 1000\r\n\r\n")
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil || resp.StatusCode != http.StatusBadRequest {
+		t.Fatalf("answered %+v, %v; want 400", resp, err)
+	}
+	io.WriteString(c, "a part")
+	group := conn.owner
+	waitFor(t, "connection that can be had for others", func() bool {
+		group.mu.Lock()
+		defer group.mu.Unlock()
+		return oldestOf(&group.readingBody) == conn
+	})
+	group.mu.Lock()
+	conn.refuseSlow(refusedSlowForRoom)
+	group.mu.Unlock()
+	waitFor(t, "close", group.isEmpty)
+}
