--- a/internal/node/client_head_test.go
+++ b/internal/node/client_head_test.go
@@ -190,7 +190,7 @@
 // close, none of both runs, and requests in front of it on the connection are answered.
 func TestRequestsWithAmbiguousFramingAreRefused(t *testing.T) {
 	s := newIDRecorder(t)
-	_, addr := startFront(t, s.fakeServer, (*clientConns).onConnState)
+	addr, _ := startNode(t, newFakeDiscovery(t, inServiceEntry(s.fakeServer, "s1")))
 	for name, framing := range ambiguousFramings {
 		for _, version := range []string{"HTTP/1.0", "HTTP/1.1"} {
 			for _, connection := range []string{"Connection: keep-alive", "Connection: close"} {
@@ -221,7 +221,7 @@
 // TestRequestsWithSoundFramingAreServed guards against sound requests that are refused for what looks like a coding.
 func TestRequestsWithSoundFramingAreServed(t *testing.T) {
 	s := newIDRecorder(t)
-	_, addr := startFront(t, s.fakeServer, (*clientConns).onConnState)
+	addr, _ := startNode(t, newFakeDiscovery(t, inServiceEntry(s.fakeServer, "s1")))
 	const words = "Transfer-Encoding: chunked\r\nContent-Length: 9\r\n\r\nTransfer-Encoding: chunked\r\n\r\n"
 	length := fmt.Sprint("Content-Length: ", len(words))
 	for name, framing := range map[string][]string{
@@ -261,7 +261,7 @@
 // TestRequestWithACodingAndNothingBehindItIsRefused guards against a request whose chunked body is forwarded as an empty one.
 func TestRequestWithACodingAndNothingBehindItIsRefused(t *testing.T) {
 	s := newIDRecorder(t)
-	_, addr := startFront(t, s.fakeServer, (*clientConns).onConnState)
+	addr, _ := startNode(t, newFakeDiscovery(t, inServiceEntry(s.fakeServer, "s1")))
 	for _, version := range []string{"HTTP/1.0", "HTTP/1.1"} {
 		for _, class := range []string{"read", "book"} {
 			t.Run(fmt.Sprint(class, " ", version), func(t *testing.T) {
