--- a/internal/node/client_input.go
+++ b/internal/node/client_input.go
@@ -151,26 +151,40 @@
 func mayBeginRequest(text []byte) bool {
 	line, _, isWhole := bytes.Cut(bytes.TrimLeft(text, "\r\n"), []byte("\n"))
 	method, rest, hasTarget := bytes.Cut(line, []byte(" "))
-	if len(method) > maxMethodBytes || hasTarget && len(method) == 0 {
+	target, version, hasVersion := bytes.Cut(rest, []byte(" "))
+	switch {
+	case hasTarget && len(method) == 0, !mayBeMethod(method), !mayBeTarget(target):
 		return false
+	case !hasVersion:
+		return !isWhole
 	}
-	for _, b := range method {
+	return mayBeVersion(version, isWhole)
+}
+
+// mayBeMethod reports whether a text can be the beginning of a method.
+func mayBeMethod(text []byte) bool {
+	for _, b := range text {
 		if (b < 'A' || b > 'Z') && b != '-' {
 			return false
 		}
 	}
-	target, version, hasVersion := bytes.Cut(rest, []byte(" "))
-	for _, b := range target {
+	return len(text) <= maxMethodBytes
+}
+
+// mayBeTarget reports whether a text can be the beginning of a request's target.
+func mayBeTarget(text []byte) bool {
+	for _, b := range text {
 		if b <= ' ' || b >= 0x7f {
 			return false
 		}
 	}
-	if !hasVersion {
-		return !isWhole
-	}
-	const prefix = "HTTP/1."
-	n := min(len(version), len(prefix))
-	return string(version[:n]) == prefix[:n] && (n == len(prefix) || !isWhole)
+	return true
+}
+
+// mayBeVersion reports whether a text can be the version of a request, or the beginning of it unless it is whole.
+func mayBeVersion(text []byte, isWhole bool) bool {
+	n := min(len(text), len(httpVersionPrefix))
+	return string(text[:n]) == httpVersionPrefix[:n] && (n == len(httpVersionPrefix) || !isWhole)
 }
 
 // isFollowedByNoRequest reports whether a client has sent data after its request that can't be the
--- a/internal/node/response_end.go
+++ b/internal/node/response_end.go
@@ -27,7 +27,7 @@
 	answerSendTime = 3 * time.Millisecond
 	// noWait makes awaitData look only at what has arrived.
 	noWait time.Duration = -time.Second
-	// httpVersionPrefix is how each response begins.
+	// httpVersionPrefix is how the version of each message begins.
 	httpVersionPrefix = "HTTP/1."
 	// jsonSpace holds the characters that may stand around a JSON text.
 	jsonSpace = " \t\r\n"
