--- a/cmd/otterstep/descriptors_test.go
+++ b/cmd/otterstep/descriptors_test.go
@@ -113,18 +113,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	discovery := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if r.URL.Query().Has("since") {
-			select {
-			case <-r.Context().Done():
-			case <-time.After(time.Second):
-			}
-			io.WriteString(w, `{"rev":1,"all":false,"targets":[]}`)
-			return
-		}
-		fmt.Fprintf(w, `{"rev":1,"all":true,"targets":[{"uid":"s1","endpoint":%q,"state":"in_service","capacity_hint":1}]}`,
-			backend.Listener.Addr())
-	}))
+	discovery := httptest.NewUnstartedServer(unchangingDiscovery(backend.Listener.Addr()))
 	discovery.Listener.Close()
 	discovery.Listener = listener
 	discovery.Start()
--- a/cmd/otterstep/main_test.go
+++ b/cmd/otterstep/main_test.go
@@ -97,16 +97,9 @@
 	}
 }
 
-// TestSignalsUnderLoadLoseNoRequest guards the rule that no request is lost, during a reload and a planned restart
-// under load: each connection that arrives before the node stops accepting gets its complete answer, and the program
-// exits with code 0.
-func TestSignalsUnderLoadLoseNoRequest(t *testing.T) {
-	backend := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		time.Sleep(100 * time.Millisecond)
-		io.WriteString(w, r.Header.Get("X-Correlation-Id"))
-	}))
-	defer backend.Close()
-	discovery := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+// unchangingDiscovery returns a discovery service whose list has one server, and never changes.
+func unchangingDiscovery(server net.Addr) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Query().Has("since") {
 			select {
 			case <-r.Context().Done():
@@ -115,9 +108,20 @@
 			io.WriteString(w, `{"rev":1,"all":false,"targets":[]}`)
 			return
 		}
-		fmt.Fprintf(w, `{"rev":1,"all":true,"targets":[{"uid":"s1","endpoint":%q,"state":"in_service","capacity_hint":1}]}`,
-			backend.Listener.Addr())
+		fmt.Fprintf(w, `{"rev":1,"all":true,"targets":[{"uid":"s1","endpoint":%q,"state":"in_service","capacity_hint":1}]}`, server)
+	}
+}
+
+// TestSignalsUnderLoadLoseNoRequest guards the rule that no request is lost, during a reload and a planned restart
+// under load: each connection that arrives before the node stops accepting gets its complete answer, and the program
+// exits with code 0.
+func TestSignalsUnderLoadLoseNoRequest(t *testing.T) {
+	backend := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(100 * time.Millisecond)
+		io.WriteString(w, r.Header.Get("X-Correlation-Id"))
 	}))
+	defer backend.Close()
+	discovery := httptest.NewServer(unchangingDiscovery(backend.Listener.Addr()))
 	defer discovery.Close()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
